--- /dev/null
+++ b/sim/main.cpp
@@ -0,0 +1,20 @@
+// kestrellb_simhost: plays the simulator's wire on standard input and output, one reply a line.
+#include <iostream>
+#include <string>
+
+#include "wire.h"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  kestrellb::wire::Host host;
+  std::string line;
+  while (std::getline(std::cin, line)) {
+    try {
+      std::cout << host.Reply(line) << '\n' << std::flush;
+    } catch (const kestrellb::wire::Error& e) {
+      std::cerr << "kestrellb_simhost: " << e.what() << std::endl;
+      return 1;
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/balancer.cpp
@@ -0,0 +1,932 @@
+// Every decision of kestrellb, and nothing else. The interface is include/kestrellb/balancer.h; what is kept
+// of an upstream and a request is in src/state.h.
+//
+// The mechanism is the consecutive-failures circuit breaker of the Linkerd circuit-breaking RFC, per
+// upstream, with smooth weighted rotation over the upstreams that are not ejected. docs/design.md says what
+// was kept and what was changed. The parts, in the order of this file:
+//   constants    one table; what can be derived from the settings is derived at its place of use
+//   membership   which upstreams there are; a new start time is a new process with a clean record
+//   ejection     the failure run, the ejection and its inflation, trials and the return
+//   rotation     who takes the next call: MayTake() and Pick(); weights that follow what was observed
+//   attempts     MaySend(): what a class allows; time-outs, trials, retries, second copies
+//   admission    the limit on calls held at once, refusal, and the final answer: Finish()
+//   slow start   the ramp and the budget of a cold upstream
+#include "kestrellb/balancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <random>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+#include "state.h"
+
+namespace kestrellb {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// ---- Constants ----
+
+// The design page's own figures.
+constexpr int kFailuresToEject = 5;
+constexpr Duration kBaseEjection = seconds(60);
+constexpr int kEjectionMultiplier = 2;
+constexpr Duration kMaxEjection = seconds(120);
+// Housekeeping (returns, budgets, asking for membership) is not urgent: decisions look at the clock.
+constexpr Duration kHousekeeping = milliseconds(250);
+constexpr std::uint64_t kHousekeepingToken = 0;
+// A cold upstream gets at most this share of what would topple it, going by the load that its peers bear:
+// they may bear 1.3 times what they can, chance bunches calls, and weights tell sizes only roughly.
+constexpr double kColdSafety = 0.5;
+// Load is not sickness: five in a row are rare where one call in ten fails. Where more of the calls to the
+// other upstreams fail, the run must be long enough to be as rare as that.
+constexpr double kOrdinaryFailureShare = 0.1;
+// An upstream's share of failures follows about this many of its latest calls.
+constexpr double kOutcomeMemory = 20;
+// An ejected upstream is tried ahead of its time with copies of calls that may be repeated: troubles end long
+// before a minute. The first trial after this, the next ones at twice the time after each that fails, up to
+// the most; it is back after so many served in a row (one may be luck where it fails only some).
+constexpr Duration kFirstTrial = milliseconds(1000);
+constexpr Duration kMaxTrial = milliseconds(8000);
+constexpr int kTrialsToReturn = 2;
+// Subsetting: over as many upstreams as it calls about once in this share of the time after which an idle
+// connection is closed, over kLeastSubset at least, and over all until its rate has been seen for kRateKnown.
+constexpr double kVisit = 0.25;
+constexpr double kLeastSubset = 3;
+constexpr Duration kRateKnown = seconds(2);
+// How long an idle connection is trusted: half the age at which one was found dropped, at least kLeastTrust,
+// growing by this factor each housekeeping (twice in some ten seconds).
+constexpr Duration kLeastTrust = milliseconds(100);
+constexpr double kTrustGrowth = 1.02;
+// From here on connecting is hard: in sum half of the calls that connect take twice their time or fail.
+constexpr double kHardToConnect = 0.5;
+// An upstream that holds more unanswered calls than its share and this many is passed over while others
+// stand.
+constexpr double kCrowdSlack = 0.5;
+// Speeds are learnt from answers: those of a class or a kind of machine over about kUsualMemory of them, an
+// upstream's over kSlownessMemory; until it has given kKindPrior answers its kind weighs more than its own.
+// One upstream is never taken for more than kMaxSlowness off the others.
+constexpr double kUsualMemory = 50;
+constexpr double kSlownessMemory = 10;
+constexpr double kKindPrior = 5;
+constexpr double kMaxSlowness = 3;
+// Silent: it holds calls and has answered nothing for this many usual times. Works are about exponential, so
+// a healthy upstream with one call is that slow once in twenty.
+constexpr double kSilence = 3;
+// So many failures in a row make a suspect, that is passed over while others stand.
+constexpr int kFailuresToSuspect = 2;
+// A call that takes this many usual times of its class gets a second copy, where it may have one.
+constexpr double kLate = 3;
+// Further attempts after a failure and second copies are at most this share of first tries, saved up to a
+// burst.
+constexpr double kRetryBudget = 0.2;
+constexpr double kRetryBurst = 10;
+// So many attempts after a proof that nothing ran are free of it: each may be a connection for a full fleet.
+constexpr std::size_t kFreeRepeats = 2;
+// Where upstreams tell their load when probed, the next ones in turn are asked before a call, as many as this
+// share of the service pays for and at most kMostAsked; the call waits for this share of a connect time-out.
+constexpr double kAskSpend = 0.01;
+constexpr double kMostAsked = 3;
+constexpr double kAskPatience = 0.1;
+// One that holds more than it serves in this share of the call's aim is jammed: times vary about twofold.
+constexpr double kHoldFor = 0.5;
+// How strongly an upstream's share of failures takes from its weight: errors come fast and would attract
+// calls.
+constexpr int kSuccessPower = 3;
+// Overload shows as answers after their aim, time-outs and refusals as full from upstreams in good standing.
+// Above kTooManyLate of at least kLateSample outcomes (a quarter of them, where all of these are late) the
+// calls held at once are limited, to the less of what is held the more are late; below it the limit grows
+// again, by kLimitGrowth each such look, and goes when it no longer binds.
+// Late is what took this share of its aim: a jam must be met before it costs its worth.
+constexpr double kLateFrom = 0.75;
+constexpr double kTooManyLate = 0.15;
+constexpr double kLateSample = 20;
+constexpr double kLimitCut = 0.6;
+constexpr double kLimitGrowth = 0.05;
+constexpr double kLeastLimit = 0.5;  // of a call, taken by chance: in sum it still sheds
+// Near the limit the classes with less worth for their time are refused first, from this share of it on, but
+// each class keeps at least kClassFloor of its calls as long as the limit itself has room.
+constexpr double kSheddingFrom = 0.7;
+constexpr double kClassFloor = 0.4;
+// A spell of refusing is over when none was refused for this long.
+constexpr Duration kSpell = seconds(2);
+// Clients that are told to come back do so spread over one to two times this, or the settings' longest wait.
+constexpr Duration kRetryAfter = milliseconds(500);
+
+}  // namespace
+
+class Balancer::Impl {
+ public:
+  Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
+    settings_.Validate();
+    trusted_idle_ = settings_.limits.idle_close;
+    if (settings_.load_by_probe && settings_.limits.probes)
+      asks_ = static_cast<std::size_t>(
+          std::clamp(kAskSpend / std::max(settings_.prices.probe, 1e-9), 1.0, kMostAsked));
+    usual_time_.resize(settings_.classes.size());
+    admitted_.assign(settings_.classes.size(), 1);
+  }
+
+  void Handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
+    now_ = now;
+    out_ = &actions;
+    if (!running_) Start();
+    std::visit([this](const auto& e) { On(e); }, event);
+    out_ = nullptr;
+  }
+
+ private:
+  // ---- Membership ----
+
+  void Start() {
+    running_ = true;
+    started_ = now_;
+    if (settings_.membership_on_request) Emit(Subscribe{});
+    Emit(SetTimer{now_ + kHousekeeping, kHousekeepingToken});
+  }
+
+  void On(const MembershipUpdate& update) {
+    if (update.kind == MembershipUpdate::Kind::kFailed) {
+      // Asking again at once would add to what made it fail; well inside `ask_within` the list still holds.
+      if (settings_.membership_on_request)
+        ask_again_at_ = now_ + Scaled(settings_.rules.ask_within, 0.1 + 0.1 * Uniform());
+      return;
+    }
+    std::vector<bool> listed(upstreams_.size(), false);
+    std::vector<std::size_t> entering;
+    for (const UpstreamInfo& info : update.upstreams) {
+      const std::size_t i = Adopt(info, entering);
+      if (i < listed.size()) listed[i] = true;
+    }
+    // With the whole list known: a turn drawn from the sum so far would put the first ones of the list first
+    // at every sidecar, and a fleet of them would send their first calls to the same few.
+    for (const std::size_t i : entering) Enter(upstreams_[i]);
+    for (std::size_t i = 0; i < listed.size() && update.kind != MembershipUpdate::Kind::kChanges; ++i) {
+      if (!listed[i]) upstreams_[i].info.state = UpstreamState::kGone;
+    }
+    Order();
+  }
+
+  // The order in which this sidecar takes upstreams into its subset: rendezvous hashing of its number and the
+  // upstream's id, so that the sidecars' subsets spread evenly over the list, cells and zones, and a change
+  // of the list changes nobody else's place.
+  void Order() {
+    order_.clear();
+    for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+      if (upstreams_[i].info.state != UpstreamState::kGone) order_.push_back(i);
+    }
+    std::sort(order_.begin(), order_.end(), [this](std::size_t a, std::size_t b) {
+      return std::tie(upstreams_[a].rank, a) < std::tie(upstreams_[b].rank, b);
+    });
+  }
+
+  // Guards against a trickle spread so thin that no upstream is met twice: every call would need a new
+  // connection, fill the upstreams' tables, and tell nothing of the next. Where calls are many it is the
+  // list.
+  double SubsetSize() const {
+    if (now_ - started_ < kRateKnown || usual_rate_ <= 0) return static_cast<double>(order_.size());
+    return std::max(kLeastSubset, usual_rate_ * kVisit * Seconds(settings_.limits.idle_close));
+  }
+
+  std::size_t Adopt(const UpstreamInfo& info, std::vector<std::size_t>& entering) {
+    const auto [it, is_new] = index_.try_emplace(info.id.value, upstreams_.size());
+    if (is_new) upstreams_.emplace_back().rank = Hash(info.id.value, settings_.self);
+    Upstream& u = upstreams_[it->second];
+    const bool was_serving = !is_new && u.info.state == UpstreamState::kServing;
+    // A new start time is a new process: the failures and the ejection belong to the one that died.
+    const bool new_process = is_new || (info.started && info.started != u.info.started);
+    u.info = info;
+    if (!(u.info.weight > 0)) u.info.weight = 1;
+    if (new_process) {
+      ++u.process;
+      u.failure_run = 0;
+      u.ejected = false;
+      u.ejected_at.reset();
+      u.on_trial = false;
+      u.calls = u.failures = 0;
+      u.slowness = Mean{};
+      u.full_until = now_;
+      u.outstanding = u.idle = 0;
+      u.cold_budget = -Uniform();  // sidecars that hear of it together must not all call it at once
+      u.cold_refilled = now_;
+    }
+    if (new_process || !was_serving) entering.push_back(it->second);
+    return it->second;
+  }
+
+  // ---- Ejection ----
+
+  void Judge(Upstream& u, const Attempt& attempt, Outcome outcome) {
+    if (attempt.process != u.process) return;
+    const bool served = outcome == Outcome::kServed;
+    if (attempt.trial) JudgeTrial(u, outcome);
+    if (outcome != Outcome::kConnectFailed && outcome != Outcome::kTimeout &&
+        outcome != Outcome::kCancelled) {
+      u.waiting_since = now_;
+    }
+    // Said to be full: it needs about the time of an answer to have room again.
+    if (outcome == Outcome::kFull) u.full_until = now_ + Scaled(UsualTime(), 0.5 + Uniform());
+    if (!served && !IsFailure(outcome)) return;
+    u.calls += 1 - u.calls / kOutcomeMemory;
+    u.failures += (served ? 0 : 1) - u.failures / kOutcomeMemory;
+    u.failure_run = served ? 0 : u.failure_run + 1;
+    if (!u.ejected && u.failure_run >= LongRun(u, kFailuresToEject)) Eject(u);
+    all_calls_ = all_failures_ = 0;
+    for (const Upstream& other : upstreams_) {
+      if (other.ejected || other.info.state != UpstreamState::kServing) continue;
+      all_calls_ += other.calls;
+      all_failures_ += other.failures;
+    }
+  }
+
+  double PeersFailureShare(const Upstream& u) const {
+    const double calls = all_calls_ - (u.ejected ? 0 : u.calls);
+    const double failures = all_failures_ - (u.ejected ? 0 : u.failures);
+    return calls < 1 ? 0 : std::clamp(failures / calls, 0.0, 0.95);
+  }
+
+  double FailureShare(const Upstream& u) const {
+    return u.failures / std::max(u.calls, static_cast<double>(kFailuresToEject));
+  }
+
+  // A run as rare as `run` in a row: longer where the other upstreams fail too. Guards against an overload or
+  // a slowdown of the whole fleet, whose time-outs string up on healthy upstreams until all are out.
+  int LongRun(const Upstream& u, int run) const {
+    const double share = PeersFailureShare(u);
+    if (share <= kOrdinaryFailureShare) return run;
+    return static_cast<int>(std::ceil(run * std::log(kOrdinaryFailureShare) / std::log(share)));
+  }
+
+  void JudgeTrial(Upstream& u, Outcome outcome) {
+    u.on_trial = false;
+    u.next_trial = now_;
+    if (outcome == Outcome::kServed) {
+      if (u.ejected && ++u.trials_served >= kTrialsToReturn) Return(u, "after it served on trial");
+    } else if (IsFailure(outcome)) {
+      u.trials_served = 0;
+      u.trial_gap = u.ejected ? std::min(u.trial_gap * 2, kMaxTrial) : kFirstTrial;
+      u.next_trial = now_ + u.trial_gap;
+    } else {
+      u.next_trial = now_ + kFirstTrial;
+    }
+  }
+
+  void Eject(Upstream& u) {
+    const int run = u.failure_run;
+    const bool relapse = u.ejected_at && now_ - u.ejected_until < kBaseEjection;
+    u.ejection_time = relapse ? std::min(u.ejection_time * kEjectionMultiplier, kMaxEjection) : kBaseEjection;
+    u.ejected = true;
+    u.ejected_at = now_;
+    u.ejected_until = now_ + u.ejection_time;
+    u.failure_run = 0;
+    u.trial_gap = kFirstTrial;
+    u.next_trial = now_ + u.trial_gap;
+    u.trials_served = 0;
+    Say("ejected " + u.info.id.value + " for " +
+        std::to_string(duration_cast<milliseconds>(u.ejection_time).count()) + " ms after " +
+        std::to_string(run) + " failures in a row");
+  }
+
+  void ReturnIfServed(Upstream& u) {
+    if (!u.ejected || now_ < u.ejected_until) return;
+    Return(u, "after its ejection");
+  }
+
+  void Return(Upstream& u, const char* why) {
+    u.ejected = false;
+    u.ejected_until = now_;
+    Enter(u);
+    Say("returned " + u.info.id.value + " " + why);
+  }
+
+  // ---- Rotation ----
+
+  // An upstream that enters or returns starts somewhere in its turn: no hoard of credit, and sidecars that
+  // hear of it together do not all pick it next.
+  void Enter(Upstream& u) { u.credit = -Uniform() * ListedWeight(); }
+
+  double ListedWeight() const {
+    double sum = 0;
+    for (const Upstream& u : upstreams_) {
+      if (u.info.state == UpstreamState::kServing) sum += u.info.weight;
+    }
+    return sum;
+  }
+
+  // The registered weight, less when cold, by what was observed; squared: a slow one is late far more often.
+  double Weight(const Upstream& u) const {
+    const double failing = FailureShare(u);
+    return u.info.weight * Warmth(u) / (Slowness(u) * Slowness(u)) *
+           std::max(0.02, std::pow(1 - failing, kSuccessPower));
+  }
+
+  // The usual time of an answer: of a class, and over all.
+  Duration UsualTime(std::size_t cls) const {
+    return TimeOr(usual_time_[cls], settings_.classes[cls].aim / 4);
+  }
+  Duration UsualTime() const { return TimeOr(usual_any_, settings_.classes[0].aim / 4); }
+
+  // How long an upstream's answers take against what is usual. A trickle meets one upstream too seldom to
+  // know: until it has answered often, it is taken for what its kind of machine is like.
+  double Slowness(const Upstream& u) const {
+    const auto kind = kind_slowness_.find(u.info.kind);
+    const Mean like = kind == kind_slowness_.end() ? Mean{} : kind->second;
+    const double known =
+        kKindPrior * (like.samples > 0 ? like.value : 1) + u.slowness.samples * u.slowness.value;
+    return std::clamp(known / (kKindPrior + u.slowness.samples), 1 / kMaxSlowness, kMaxSlowness);
+  }
+
+  void LearnTime(Upstream& u, std::size_t cls, Outcome outcome, Duration elapsed) {
+    const auto time = static_cast<double>(elapsed.count());
+    if (ProvesNotRun(outcome) || outcome == Outcome::kError || outcome == Outcome::kReset) return;
+    const double ratio = std::min(time / static_cast<double>(UsualTime(cls).count()), 2 * kMaxSlowness);
+    // Unanswered so far says that it takes at least as long.
+    if (outcome != Outcome::kServed && ratio < Slowness(u)) return;
+    u.slowness.Add(ratio, kSlownessMemory);
+    kind_slowness_[u.info.kind].Add(ratio, kUsualMemory);
+    if (outcome != Outcome::kServed) return;
+    usual_time_[cls].Add(time, kUsualMemory);
+    usual_any_.Add(time, kUsualMemory);
+  }
+
+  // Guards against hangs, silent machines and cut links, which show by nothing but time: passed over before
+  // five in a row, while others stand. One answer clears it.
+  bool Suspect(const Upstream& u) const {
+    if (u.failure_run >= LongRun(u, kFailuresToSuspect)) return true;
+    return u.outstanding > 0 && now_ - u.waiting_since > Scaled(UsualTime(), kSilence * Slowness(u));
+  }
+
+  bool HasConnection(const Upstream& u) const {
+    if (settings_.limits.streams > 1 && u.outstanding > 0) return true;
+    return u.idle > 0 && now_ - u.idle_since < settings_.limits.idle_close;
+  }
+
+  // How calls fare that open a connection: 1 where none comes about or it takes as long as an answer.
+  void LearnConnecting(Upstream& u, const Attempt& a, std::size_t cls, Outcome outcome, Duration elapsed) {
+    const bool kept = outcome == Outcome::kServed || outcome == Outcome::kError || outcome == Outcome::kFull;
+    if (kept) ++u.idle, u.idle_since = now_;
+    if (outcome == Outcome::kConnectFailed || outcome == Outcome::kReset) u.idle = 0;
+    // Reset at once on a connection that had been idle: it had been dropped unseen. Guards calls that may not
+    // be repeated: idle ones are closed before that age, and trusted longer again with time.
+    const bool at_once = elapsed < Scaled(settings_.limits.connect_timeout, kAskPatience);
+    if (outcome == Outcome::kReset && !a.connects && at_once)
+      trusted_idle_ = std::max(kLeastTrust, std::min(trusted_idle_, a.idle_for / 2));
+    if (!a.connects || (outcome != Outcome::kServed && outcome != Outcome::kConnectFailed)) return;
+    const double over = Seconds(elapsed) / Seconds(UsualTime(cls)) - 1;
+    connecting_.Add(outcome == Outcome::kServed ? std::clamp(over, 0.0, 1.0) : 1, kOutcomeMemory);
+  }
+
+  // May this upstream take a call? The one gate to every upstream. An ejected one takes trials only.
+  bool MayTake(Upstream& u, bool trial = false) {
+    if (u.info.state != UpstreamState::kServing) return false;
+    ReturnIfServed(u);
+    if (trial ? !(u.ejected || Suspect(u)) || u.on_trial || now_ < u.next_trial : u.ejected) return false;
+    return HasColdBudget(u);
+  }
+
+  // The next upstream for this request by smooth weighted rotation over the subset: one not yet tried while
+  // any such stands, and of those one in good standing; then the crowded ones, then the suspects. None that
+  // just said it is full. Members that are out, suspect or tried are made up for by the next ones in order.
+  std::optional<std::size_t> Pick(const Request& r, bool only_good = false) {
+    double weight = 0;
+    int outstanding = 1;
+    std::vector<std::size_t> takers;
+    double room = SubsetSize();
+    for (const std::size_t i : order_) {
+      Upstream& u = upstreams_[i];
+      if (room <= 0) break;
+      if (!MayTake(u) || now_ < u.full_until || !MaySend(r, i)) continue;
+      takers.push_back(i);
+      if (Suspect(u)) continue;
+      if (!Tried(r, i)) room -= Warmth(u);  // the cold ones are no help yet
+      weight += Weight(u);
+      outstanding += u.outstanding;
+    }
+    std::vector<std::size_t> best;
+    int best_standing = only_good ? 1 : 6;
+    for (const std::size_t i : takers) {
+      const Upstream& u = upstreams_[i];
+      // Where connecting takes long or fails, one without a connection is no better than a crowded one.
+      const bool crowded = u.outstanding + 1 > kCrowdSlack + 0.5 + outstanding * Weight(u) / weight ||
+                           (connecting_.value > kHardToConnect && !HasConnection(u));
+      const int standing = (Tried(r, i) ? 3 : 0) + (Suspect(u) ? 2 : crowded ? 1 : 0);
+      if (standing < best_standing) best.clear();
+      if (standing > best_standing) continue;
+      best_standing = standing;
+      best.push_back(i);
+    }
+    if (best.empty()) return std::nullopt;
+    return Rotate(best);
+  }
+
+  std::size_t Rotate(const std::vector<std::size_t>& candidates) {
+    double sum = 0;
+    std::size_t best = candidates.front();
+    for (const std::size_t i : candidates) sum += Weight(upstreams_[i]);
+    for (const std::size_t i : candidates) {
+      Upstream& u = upstreams_[i];
+      // One that was not among the candidates for long comes from a turn of another length.
+      u.credit = std::clamp(u.credit, -sum, sum) + Weight(u);
+      if (u.credit > upstreams_[best].credit) best = i;
+    }
+    upstreams_[best].credit -= sum;
+    return best;
+  }
+
+  // Sent to for this request, or asked for its load.
+  static bool Tried(const Request& r, std::size_t upstream) {
+    const auto same = [upstream](const auto& a) { return a.upstream == upstream; };
+    return std::any_of(r.attempts.begin(), r.attempts.end(), same) ||
+           std::any_of(r.asked.begin(), r.asked.end(), same);
+  }
+
+  // ---- Attempts ----
+
+  // May this be sent again (or for the first time), to this upstream? The one gate to every attempt.
+  bool MaySend(const Request& r, std::size_t upstream) const {
+    if (r.ended || r.streaming || now_ >= r.deadline) return false;
+    if (r.attempts.size() >= settings_.limits.max_attempts) return false;
+    for (const Attempt& a : r.attempts) {
+      if (a.outcome && ProvesNotRun(*a.outcome)) continue;
+      if (!a.outcome && !settings_.limits.second_copies) return false;
+      if (r.cls->effect == Effect::kUnsafe) return false;
+      if (r.cls->effect != Effect::kKeyed) continue;
+      // Repeats are dropped only among the upstreams that know the key, and only while they remember it. Half
+      // the window is left for the way there.
+      if (now_ - a.sent >= r.cls->key_window / 2) return false;
+      const UpstreamInfo& first = upstreams_[a.upstream].info;
+      const UpstreamInfo& next = upstreams_[upstream].info;
+      if (r.cls->key_scope == KeyScope::kZone && first.zone != next.zone) return false;
+      if (r.cls->key_scope == KeyScope::kCell && first.cell != next.cell) return false;
+    }
+    return true;
+  }
+
+  bool MayRefuse(const Request& r) const {
+    if (r.cls->effect == Effect::kSafe) return true;
+    if (r.cls->effect == Effect::kKeyed && r.cls->key_scope == KeyScope::kAll) return true;
+    return std::all_of(r.attempts.begin(), r.attempts.end(),
+                       [](const Attempt& a) { return a.outcome && ProvesNotRun(*a.outcome); });
+  }
+
+  bool AnyOut(const Request& r) const {
+    return std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return !a.outcome; });
+  }
+
+  Duration Timeout(const Request& r) const {
+    const Duration left = r.deadline - now_;
+    // What may be repeated is given up at its aim: another upstream may have time for it, or it is worth
+    // nothing. Where late answers have a worth, a second copy does that without losing the first.
+    if (r.cls->late_worth > 0 && settings_.limits.second_copies) return left;
+    const TimePoint aim = r.arrived + r.cls->aim;
+    // Under overload also what may not be repeated: kept past its aim it is worth nothing and holds up the
+    // rest.
+    const bool give_up = r.cls->effect != Effect::kUnsafe || (r.cls->late_worth <= 0 && limit_ < kNoLimit);
+    if (give_up && now_ < aim) return std::min(left, Duration(aim - now_));
+    return left;
+  }
+
+  bool Send(Request& r) {
+    const std::optional<std::size_t> pick = Pick(r);
+    if (!pick) return false;
+    r.asked = {{*pick}};
+    while (r.asked.size() < asks_) {
+      const std::optional<std::size_t> next = Pick(r);
+      if (!next || Tried(r, *next)) break;  // there is no other
+      r.asked.push_back({*next});
+    }
+    if (r.asked.size() == 1) {
+      r.asked.clear();
+      SendTo(r, *pick, false);
+      return true;
+    }
+    for (const Asked& a : r.asked) Emit(SendProbe{upstreams_[a.upstream].info.id});
+    asking_.push_back(r.id);
+    Wake(r, now_ + Scaled(settings_.limits.connect_timeout, kAskPatience));
+    return true;
+  }
+
+  // Of the upstreams asked, the one that holds the least for what it can do. Guards against queues that a
+  // sidecar with a trickle does not see: they are other sidecars' calls.
+  void Decide(Request& r) {
+    const std::vector<Asked> asked = std::exchange(r.asked, {});
+    std::erase(asking_, r.id);
+    if (r.ended || r.streaming) return;
+    std::optional<std::size_t> best;
+    double least = 0;
+    bool jammed = false;
+    for (const Asked& a : asked) {
+      Upstream& u = upstreams_[a.upstream];
+      if (!a.held || !MayTake(u) || !MaySend(r, a.upstream)) continue;
+      // Holds more than it serves within the aim: a call would be late and keep it jammed.
+      if (a.served > 0 && *a.held > a.served * kHoldFor * Seconds(r.cls->aim)) {
+        jammed = true;
+        continue;
+      }
+      const double load = (*a.held + 1) * Slowness(u) / (u.info.weight * Warmth(u));
+      if (!best || load < least) best = a.upstream, least = load;
+    }
+    if (jammed && !best) SayRefusing("overload, upstreams hold more than they can serve in time");
+    if (!jammed && !best) best = Pick(r);
+    if (best) return SendTo(r, *best, false);
+    if (!AnyOut(r)) Finish(r);
+  }
+
+  void On(const ProbeEnded& e) {
+    const auto it = index_.find(e.upstream.value);
+    if (it == index_.end()) return;
+    // No answer to as little as this is a failure like another.
+    if (e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kTimeout)
+      ++upstreams_[it->second].failure_run;
+    const std::vector<RequestId> asking = asking_;
+    for (const RequestId id : asking) {
+      Request* r = Find(id);
+      if (r == nullptr) continue;
+      for (Asked& a : r->asked) {
+        if (a.upstream != it->second) continue;
+        a.answered = true;
+        a.held = e.load.in_flight;
+        a.served = e.load.rate.value_or(0);
+      }
+      if (std::all_of(r->asked.begin(), r->asked.end(), [](const Asked& a) { return a.answered; }))
+        Decide(*r);
+    }
+  }
+
+  void SendTo(Request& r, std::size_t upstream, bool trial) {
+    Upstream& u = upstreams_[upstream];
+    if (Warmth(u) < 1) u.cold_budget -= 1;
+    if (u.outstanding++ == 0) u.waiting_since = now_;
+    peak_held_ = std::max(peak_held_, ++held_);
+    if (trial) u.on_trial = true;
+    const Duration idle_for = now_ - u.idle_since;
+    if (u.idle > 0 && idle_for > trusted_idle_) {
+      Emit(CloseIdle{u.info.id});
+      u.idle = 0;
+    }
+    const bool connects = !HasConnection(u);
+    if (u.idle > 0) --u.idle;
+    r.attempts.push_back({upstream, u.process, now_, trial, connects, idle_for});
+    Emit(SendAttempt{r.id, u.info.id, Timeout(r)});
+  }
+
+  // A copy of a call that may be repeated tries out an ejected or suspect upstream; the client does not
+  // depend on it, so a relapsing upstream costs no request. Where nothing else stands, the call itself is the
+  // trial: refusing all while some could serve is the worst outcome.
+  bool Try(Request& r) {
+    if (!settings_.limits.second_copies && !r.attempts.empty()) return false;
+    for (const std::size_t i : order_) {
+      if (r.cls->effect == Effect::kUnsafe || Tried(r, i)) continue;
+      if (!MayTake(upstreams_[i], true) || !MaySend(r, i)) continue;
+      SendTo(r, i, true);
+      return true;
+    }
+    return false;
+  }
+
+  void On(const RequestArrived& e) {
+    const auto cls = static_cast<std::size_t>(e.request_class);
+    if (cls >= settings_.classes.size()) return;
+    const auto [it, is_new] = requests_.try_emplace(e.request);
+    if (!is_new) return;
+    Request& r = it->second;
+    r.id = e.request;
+    r.cls = &settings_.classes[cls];
+    r.cls_index = cls;
+    r.arrived = now_;
+    r.deadline = e.deadline;
+    ++arrivals_;
+    retry_budget_ = std::min(kRetryBurst, retry_budget_ + kRetryBudget);
+    Wake(r, r.deadline);
+    Advance(r);
+    r.late_at = now_ + Scaled(UsualTime(cls), kLate);
+    if (!r.ended && r.cls->effect != Effect::kUnsafe && settings_.limits.second_copies &&
+        r.late_at < r.deadline)
+      Wake(r, r.late_at);
+  }
+
+  void Wake(const Request& r, TimePoint at) {
+    const std::uint64_t token = ++last_token_;
+    timers_.emplace(token, r.id);
+    Emit(SetTimer{at, token});
+  }
+
+  // Further attempts are paid from the retry budget, so that they never feed an overload, but the first ones
+  // after a proof that nothing ran. What can no longer be in time for any worth is not tried again either.
+  bool WorthAnother(const Request& r) {
+    if (r.attempts.empty()) return true;
+    if (r.cls->late_worth <= 0 && now_ >= r.arrived + r.cls->aim) return false;
+    const auto& last = r.attempts.back().outcome;
+    if (last && ProvesNotRun(*last) && r.attempts.size() <= kFreeRepeats) return true;
+    if (retry_budget_ < 1) return false;
+    retry_budget_ -= 1;
+    return true;
+  }
+
+  // Another attempt where one helps and is allowed, else the final answer. Nothing to do while one is out.
+  void Advance(Request& r) {
+    if (r.ended || r.streaming || AnyOut(r) || !r.asked.empty()) return;
+    const bool first = r.attempts.empty();
+    if (first && !Admit(r)) {
+      SayRefusing("overload, answers come late");
+      return Finish(r);
+    }
+    if (WorthAnother(r) && Send(r)) {
+      if (first) Try(r);
+      return;
+    }
+    if (first && Try(r)) return;
+    if (first) SayRefusing("no upstream can take a call");
+    Finish(r);
+  }
+
+  // A second copy of a call that is late against what is usual: guards against hangs and pauses. Never onto
+  // an upstream that is no better.
+  void SecondCopy(Request& r) {
+    if (r.ended || r.streaming || !AnyOut(r) || retry_budget_ < 1) return;
+    if (now_ < r.late_at) return;
+    if (held_ > 1 && held_ > limit_ * kSheddingFrom) return;
+    const std::optional<std::size_t> pick = Pick(r, true);
+    if (!pick) return;
+    retry_budget_ -= 1;
+    SendTo(r, *pick, false);
+  }
+
+  void On(const AnswerStarted& e) {
+    Request* r = Find(e.request);
+    if (r == nullptr || r->ended || !AttemptOf(*r, e.attempt)) return;
+    r->streaming = true;
+    for (std::size_t i = 0; i < r->attempts.size(); ++i) {
+      if (i != static_cast<std::size_t>(e.attempt)) Cancel(*r, i);
+    }
+  }
+
+  void On(const AttemptEnded& e) {
+    Request* r = Find(e.request);
+    Attempt* attempt = r == nullptr ? nullptr : AttemptOf(*r, e.attempt);
+    if (attempt == nullptr || attempt->outcome) return;
+    attempt->outcome = e.outcome;
+    Upstream& u = upstreams_[attempt->upstream];
+    if (attempt->process == u.process) --u.outstanding;
+    CountLate(*r, u, e.outcome, e.elapsed);
+    --held_;
+    if (attempt->process == u.process) LearnConnecting(u, *attempt, r->cls_index, e.outcome, e.elapsed);
+    if (attempt->process == u.process) LearnTime(u, r->cls_index, e.outcome, e.elapsed);
+    Judge(u, *attempt, e.outcome);
+    if (e.outcome == Outcome::kServed) ++served_;
+    if (e.finished) {
+      End(*r);
+    } else if (r->streaming) {
+      Finish(*r);  // a broken stream that the sidecar still wants an answer for
+    } else {
+      Advance(*r);
+    }
+    Forget(e.request);
+  }
+
+  void On(const RequestGone& e) {
+    Request* r = Find(e.request);
+    if (r == nullptr) return;
+    End(*r);
+    Forget(e.request);
+  }
+
+  // ---- Admission and the final answer ----
+
+  // Guards against an overload, whatever its cause: what cannot be answered in time is refused while that is
+  // harmless and cheap, so that the rest is in time. Below the limit everything is taken.
+  bool Admit(const Request& r) {
+    double& share = admitted_[r.cls_index];
+    double best = 0;
+    for (std::size_t c = 0; c < settings_.classes.size(); ++c) best = std::max(best, WorthForTime(c));
+    const double rank = best > 0 ? WorthForTime(r.cls_index) / best : 1;
+    const double mine = share < kClassFloor ? 1 : kSheddingFrom + (1 - kSheddingFrom) * rank;
+    // The limit is a fraction for a trickle: in sum a thousand that take every second call are a limit too.
+    const bool admit = held_ + Uniform() < limit_ * mine;
+    share += ((admit ? 1 : 0) - share) / kUsualMemory;
+    return admit;
+  }
+
+  double WorthForTime(std::size_t cls) const {
+    return settings_.classes[cls].worth / static_cast<double>(UsualTime(cls).count());
+  }
+
+  // Lateness of a cold, suspect or ejected upstream is its own trouble, unless such ones are the most.
+  bool Telling(const Upstream& u) const { return !u.ejected && Warmth(u) >= 1 && !Suspect(u); }
+
+  void CountLate(const Request& r, const Upstream& u, Outcome outcome, Duration elapsed) {
+    if (!Telling(u) && 2 * telling_weight_ > serving_weight_) return;
+    if (outcome != Outcome::kServed && outcome != Outcome::kTimeout && outcome != Outcome::kFull) return;
+    ++timely_or_not_;
+    late_ += outcome != Outcome::kServed || elapsed > Scaled(r.cls->aim, kLateFrom);
+  }
+
+  // What the upstreams that can take calls hold ordinarily is not what makes them late: cutting below it
+  // would refuse for nothing when the whole fleet is slow.
+  void UpdateLimit() {
+    telling_weight_ = serving_weight_ = able_weight_ = 0;
+    for (const Upstream& u : upstreams_) {
+      if (u.info.state != UpstreamState::kServing) continue;
+      serving_weight_ += u.info.weight;
+      if (Telling(u)) telling_weight_ += u.info.weight;
+      if (!u.ejected) able_weight_ += u.info.weight * Warmth(u);
+    }
+    const bool in_time = late_ <= kTooManyLate / 2 * timely_or_not_;
+    if (in_time && able_weight_ > 0) usual_held_ += (held_ / able_weight_ - usual_held_) / kSlownessMemory;
+    if (timely_or_not_ < kLateSample && late_ < kLateSample / 4) return;
+    const double late = late_ / timely_or_not_;
+    late_ = timely_or_not_ = 0;
+    if (late > kTooManyLate) {
+      const double floor = std::max(kLeastLimit, usual_held_ * able_weight_);
+      limit_ = std::max(floor, std::min(limit_, peak_held_) * (1 - kLimitCut * late));
+    } else if (late <= kTooManyLate && peak_held_ > limit_ * kSheddingFrom) {
+      limit_ += std::max(1.0, limit_ * kLimitGrowth);
+    } else if (late <= kTooManyLate && peak_held_ < limit_ / 2) {
+      limit_ = kNoLimit;
+    }
+    peak_held_ = held_;
+  }
+
+  void SayRefusing(const std::string& why) {
+    if (!refusing_) Say("refusing: " + why);
+    refusing_ = true;
+    refused_at_ = now_;
+  }
+
+  // Give the final answer: a refusal where it is true that nothing was done or that repeating is harmless,
+  // else a failure. The one way out but for a served answer.
+  void Finish(Request& r) {
+    if (r.ended) return;
+    if (MayRefuse(r)) {
+      const Duration most = settings_.limits.max_retry_after;
+      const Duration wait = std::min(Scaled(kRetryAfter, 1 + Uniform()), most);
+      Emit(Refuse{r.id, settings_.limits.retry_after ? wait : Duration::zero()});
+    } else {
+      Emit(Fail{r.id});
+    }
+    End(r);
+  }
+
+  // Nothing more is sent for it from here on; what is still out is called off.
+  void End(Request& r) {
+    r.ended = true;
+    std::erase(asking_, r.id);
+    for (std::size_t i = 0; i < r.attempts.size(); ++i) Cancel(r, i);
+  }
+
+  void Cancel(const Request& r, std::size_t attempt) {
+    if (r.attempts[attempt].outcome || !settings_.limits.cancel) return;
+    if (r.attempts[attempt].trial) return;  // its outcome is what it was sent for
+    Emit(CancelAttempt{r.id, AttemptId{attempt}});
+  }
+
+  // ---- Slow start ----
+
+  // The least share of its capacity that an upstream has by now: an even rise from the cold share to the
+  // full.
+  double Warmth(const Upstream& u) const {
+    if (!u.info.started) return 1;
+    const double age = Seconds(now_ - *u.info.started) / Seconds(settings_.rules.cold_time);
+    const double from = settings_.rules.cold_from;
+    return std::clamp(from + (1 - from) * age, from, 1.0);
+  }
+
+  // A cold upstream's calls are counted against what this sidecar usually sends a warm one of its weight. The
+  // rotation already gives it less; the budget holds when others fail and push their calls onto it.
+  bool HasColdBudget(Upstream& u) {
+    const double warmth = Warmth(u);
+    if (warmth >= 1) return true;
+    const double usual =
+        std::max(usual_served_, usual_rate_ / 2) * u.info.weight / std::max(usual_weight_, u.info.weight);
+    const double rate = settings_.rules.fall_multiple * kColdSafety * warmth * usual;
+    const double most = std::max(1.0, rate * Seconds(settings_.rules.fall_window) / 2);
+    u.cold_budget = std::min(most, u.cold_budget + rate * Seconds(now_ - u.cold_refilled));
+    u.cold_refilled = now_;
+    return u.cold_budget >= 1;
+  }
+
+  // The usual rate and weight change slowly: a burst or the loss of half the list must not raise the budgets.
+  void UpdateUsual() {
+    const double dt = Seconds(kHousekeeping);
+    const double memory = std::min(Seconds(now_ - started_), Seconds(settings_.rules.cold_time) / 2);
+    usual_rate_ += (static_cast<double>(arrivals_) / dt - usual_rate_) * std::min(1.0, dt / memory);
+    usual_served_ += (static_cast<double>(served_) / dt - usual_served_) * std::min(1.0, dt / memory);
+    arrivals_ = served_ = 0;
+    usual_weight_ =
+        std::max(ListedWeight(), usual_weight_ * (1 - dt / (2 * Seconds(settings_.rules.cold_time))));
+  }
+
+  // ---- Timers and small helpers ----
+
+  void On(const TimerFired& e) {
+    if (e.token == kHousekeepingToken) return Housekeeping();
+    const auto timer = timers_.find(e.token);
+    if (timer == timers_.end()) return;
+    const RequestId id = timer->second;
+    Request* r = Find(id);
+    timers_.erase(timer);
+    if (r == nullptr) return;
+    if (now_ < r->deadline) return r->asked.empty() ? SecondCopy(*r) : Decide(*r);
+    if (!r->streaming) Finish(*r);
+    Forget(id);
+  }
+
+  void Housekeeping() {
+    Emit(SetTimer{now_ + kHousekeeping, kHousekeepingToken});
+    UpdateUsual();
+    UpdateLimit();
+    trusted_idle_ = std::min(Scaled(trusted_idle_, kTrustGrowth), settings_.limits.idle_close);
+    if (refusing_ && now_ - refused_at_ > kSpell) {
+      refusing_ = false;
+      Say("taking calls again");
+    }
+    for (Upstream& u : upstreams_) ReturnIfServed(u);
+    if (ask_again_at_ && now_ >= *ask_again_at_) {
+      ask_again_at_.reset();
+      Emit(Subscribe{});
+    }
+  }
+
+  Request* Find(RequestId id) {
+    const auto it = requests_.find(id);
+    return it == requests_.end() ? nullptr : &it->second;
+  }
+
+  static Attempt* AttemptOf(Request& r, AttemptId id) {
+    const auto i = static_cast<std::size_t>(id);
+    return i < r.attempts.size() ? &r.attempts[i] : nullptr;
+  }
+
+  void Forget(RequestId id) {
+    const Request* r = Find(id);
+    if (r != nullptr && r->ended && !AnyOut(*r)) requests_.erase(id);
+  }
+
+  // Raw engine output: the standard's distributions differ between libraries.
+  double Uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+
+  template <typename T>
+  void Emit(T action) {
+    out_->emplace_back(std::move(action));
+  }
+  void Say(std::string text) { Emit(Log{std::move(text)}); }
+
+  const Settings settings_;
+  std::mt19937_64 random_;
+  TimePoint now_;
+  std::vector<Action>* out_ = nullptr;
+  bool running_ = false;
+  TimePoint started_;
+  std::vector<Upstream> upstreams_;  // in the order in which they were first listed; ties go to the earlier
+  std::vector<std::size_t> order_;   // those that are not gone, by rank
+  std::unordered_map<std::string, std::size_t> index_;   // looked up, never walked
+  std::unordered_map<RequestId, Request> requests_;      // looked up, never walked
+  std::unordered_map<std::uint64_t, RequestId> timers_;  // looked up, never walked
+  std::uint64_t last_token_ = kHousekeepingToken;
+  std::optional<TimePoint> ask_again_at_;
+  bool refusing_ = false;
+  TimePoint refused_at_;
+  static constexpr double kNoLimit = 1e9;
+  double limit_ = kNoLimit;    // calls held at once
+  double held_ = 0;            // attempts out
+  double usual_held_ = 0;      // calls for each unit of weight, while answers are in time
+  double serving_weight_ = 0;  // of all that serve by the list
+  double able_weight_ = 0;     // of those that can take calls
+  double telling_weight_ = 0;  // of those whose lateness tells of load
+  double peak_held_ = 0;       // since the limit was last looked at
+  double all_calls_ = 0;       // sums over the upstreams in service
+  double all_failures_ = 0;
+  double late_ = 0;  // of timely_or_not_ outcomes, likewise
+  double timely_or_not_ = 0;
+  std::size_t asks_ = 1;           // upstreams asked for their load before a call; 1: none
+  std::vector<RequestId> asking_;  // requests that wait for reports
+  std::vector<double> admitted_;   // each class's share of late
+  std::uint64_t arrivals_ = 0;     // since the last housekeeping
+  std::uint64_t served_ = 0;       // likewise
+  double usual_rate_ = 0;         // requests taken a second, slowly changing; clients' repeats are among them
+  double usual_served_ = 0;       // answers served a second, slowly changing
+  std::vector<Mean> usual_time_;  // microseconds, by class
+  Mean usual_any_;
+  Mean connecting_;        // how hard it is, 0 to 1
+  Duration trusted_idle_;  // connections idle for longer are closed before a call
+  std::map<std::string, Mean> kind_slowness_;
+  double retry_budget_ = kRetryBurst;
+  double usual_weight_ = 0;  // the list's weight, slow to fall
+};
+
+Balancer::Balancer(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
+  impl_->Handle(now, event, actions);
+}
+
+}  // namespace kestrellb
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,40 @@
+// Settings that make no sense are turned away before a balancer acts on them.
+#include <stdexcept>
+#include <string>
+
+#include "kestrellb/balancer.h"
+
+namespace kestrellb {
+namespace {
+
+void Require(bool sound, const char* setting) {
+  if (!sound) throw std::invalid_argument(std::string("kestrellb: bad setting ") + setting);
+}
+
+}  // namespace
+
+void Settings::Validate() const {
+  Require(!classes.empty(), "classes");
+  for (const RequestClass& c : classes) {
+    Require(c.aim > Duration::zero(), "classes.aim");
+    Require(c.deadline > Duration::zero(), "classes.deadline");
+    Require(c.effect != Effect::kKeyed || c.key_window > Duration::zero(), "classes.key_window");
+    Require(c.worth >= 0, "classes.worth");
+    Require(c.late_worth >= 0 && c.late_worth <= 1, "classes.late_worth");
+    Require(c.aim_stretch >= 0, "classes.aim_stretch");
+  }
+  for (const Tenant& t : tenants) Require(t.share >= 0 && t.quota_per_s >= 0, "tenants");
+  Require(balancers > 0, "balancers");
+  Require(limits.max_attempts > 0, "limits.max_attempts");
+  Require(limits.connect_timeout > Duration::zero(), "limits.connect_timeout");
+  Require(limits.idle_close > Duration::zero(), "limits.idle_close");
+  Require(limits.max_retry_after >= Duration::zero(), "limits.max_retry_after");
+  Require(rules.answer_grace >= Duration::zero(), "rules.answer_grace");
+  Require(rules.ask_within > Duration::zero(), "rules.ask_within");
+  Require(rules.cold_from > 0 && rules.cold_from <= 1, "rules.cold_from");
+  Require(rules.cold_time > Duration::zero(), "rules.cold_time");
+  Require(rules.fall_multiple > 0, "rules.fall_multiple");
+  Require(rules.fall_window > Duration::zero(), "rules.fall_window");
+}
+
+}  // namespace kestrellb
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,115 @@
+// What a balancer keeps of upstreams and requests, and small arithmetic. No decision is made here.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kestrellb/balancer.h"
+
+namespace kestrellb {
+
+inline double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
+inline Duration Scaled(Duration d, double factor) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(d.count()) * factor));
+}
+
+// Spreads ids evenly, differently for each `seed`; the same on every platform.
+inline std::uint64_t Hash(const std::string& id, std::uint64_t seed) {
+  std::uint64_t hash = 0xcbf29ce484222325 ^ (seed * 0x9e3779b97f4a7c15);
+  for (const char c : id) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3;
+  hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9;
+  hash = (hash ^ (hash >> 27)) * 0x94d049bb133111eb;
+  return hash ^ (hash >> 31);
+}
+
+// A mean that forgets: over all samples while they are few, over about the latest `memory` later on.
+struct Mean {
+  double value = 0;
+  double samples = 0;
+  void Add(double sample, double memory) {
+    samples = std::min(samples + 1, memory);
+    value += (sample - value) / samples;
+  }
+};
+
+inline Duration TimeOr(const Mean& mean, Duration unknown) {
+  return mean.value >= 1 ? Duration(static_cast<Duration::rep>(mean.value)) : unknown;
+}
+
+// What an outcome says by the interface: nothing ran; the upstream failed.
+inline bool ProvesNotRun(Outcome outcome) {
+  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
+}
+
+inline bool IsFailure(Outcome outcome) {
+  return outcome == Outcome::kError || outcome == Outcome::kTimeout || outcome == Outcome::kConnectFailed ||
+         outcome == Outcome::kReset;
+}
+
+struct Upstream {
+  UpstreamInfo info;
+  std::uint64_t rank = 0;  // its place in this sidecar's order
+  // Counts its start times: outcomes of an earlier process say nothing of this one.
+  std::uint64_t process = 0;
+  // Ejection.
+  int failure_run = 0;
+  bool ejected = false;
+  TimePoint ejected_until;
+  Duration ejection_time{};             // of the last ejection
+  std::optional<TimePoint> ejected_at;  // the last ejection
+  TimePoint next_trial;
+  Duration trial_gap{};
+  int trials_served = 0;
+  bool on_trial = false;    // one trial at a time
+  TimePoint waiting_since;  // while it holds calls: since when it has answered none
+  TimePoint full_until;
+  Mean slowness;  // its answers' time against the usual of their class
+  // Its own recent calls, old ones fading.
+  double calls = 0;
+  double failures = 0;
+  // Connections of this sidecar that wait for a call, and since when the last one does.
+  int idle = 0;
+  TimePoint idle_since;
+  // Rotation.
+  double credit = 0;
+  int outstanding = 0;
+  // Slow start: calls it may still be sent, refilled over time.
+  double cold_budget = 0;
+  TimePoint cold_refilled;
+};
+
+struct Attempt {
+  std::size_t upstream = 0;
+  std::uint64_t process = 0;
+  TimePoint sent;
+  bool trial = false;
+  bool connects = false;             // it found no connection to use
+  Duration idle_for{};               // how long the one it found had been idle
+  std::optional<Outcome> outcome{};  // absent while it is out
+};
+
+// An upstream that was asked for its load before a call.
+struct Asked {
+  std::size_t upstream = 0;
+  bool answered = false;
+  std::optional<double> held{};  // calls, as it says
+  double served = 0;             // calls a second, as it says; 0 where it does not
+};
+
+struct Request {
+  RequestId id{};
+  const RequestClass* cls = nullptr;
+  std::size_t cls_index = 0;
+  TimePoint arrived;
+  TimePoint deadline;
+  TimePoint late_at;  // unanswered then, it is late against what is usual
+  std::vector<Attempt> attempts;
+  std::vector<Asked> asked;  // while it waits for their reports
+  bool ended = false;        // it has its final answer: nothing more is sent for it
+  bool streaming = false;    // its answer has begun: it belongs to the client
+};
+
+}  // namespace kestrellb
--- /dev/null
+++ b/tests/embed_example.cpp
@@ -0,0 +1,43 @@
+// A sidecar in small: it hands events to the balancer and carries out what comes back. README.md shows it.
+#include <cstdio>
+#include <variant>
+#include <vector>
+
+#include "kestrellb/balancer.h"
+
+using namespace std::chrono_literals;
+
+// Where a real sidecar would use its sockets and timers. Anything not named here is left out for brevity.
+struct CarryOut {
+  void operator()(const kestrellb::SendAttempt& a) { std::printf("send to %s\n", a.upstream.value.c_str()); }
+  void operator()(const kestrellb::Refuse&) { std::printf("refuse\n"); }
+  void operator()(const kestrellb::Fail&) { std::printf("fail\n"); }
+  void operator()(const kestrellb::Log& a) { std::printf("log: %s\n", a.text.c_str()); }
+  template <typename Other>
+  void operator()(const Other&) {}
+};
+
+int main() {
+  kestrellb::Settings settings;
+  settings.classes.push_back(
+      {.name = "lookup", .aim = 200ms, .deadline = 1s, .effect = kestrellb::Effect::kSafe});
+  kestrellb::Balancer balancer(settings, /*seed=*/42);
+
+  std::vector<kestrellb::Action> actions;
+  kestrellb::TimePoint now{1s};  // from the sidecar's own monotonic clock
+  kestrellb::MembershipUpdate list;
+  list.kind = kestrellb::MembershipUpdate::Kind::kRestored;
+  list.upstreams.push_back({.id = {"10.0.0.1:80"}});
+  list.upstreams.push_back({.id = {"10.0.0.2:80"}});
+  balancer.handle(now, list, actions);
+  balancer.handle(now, kestrellb::RequestArrived{.request = kestrellb::RequestId{1}, .deadline = now + 1s},
+                  actions);
+
+  CarryOut carry_out;
+  bool sent = false;
+  for (const kestrellb::Action& action : actions) {
+    std::visit(carry_out, action);
+    sent = sent || std::holds_alternative<kestrellb::SendAttempt>(action);
+  }
+  return sent ? 0 : 1;
+}
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,277 @@
+// Many sidecars with a trickle of calls each: what they do in sum, and what one can know from so few calls.
+#include <algorithm>
+#include <memory>
+#include <set>
+
+#include "helpers.h"
+
+namespace kestrellb::testing {
+namespace {
+
+// `count` sidecars that share nothing but the list they are told.
+std::vector<std::unique_ptr<World>> Fleet(int count, const Settings& settings = DefaultSettings()) {
+  std::vector<std::unique_ptr<World>> fleet;
+  for (int i = 0; i < count; ++i)
+    fleet.push_back(std::make_unique<World>(settings, 1000 + static_cast<std::uint64_t>(i)));
+  return fleet;
+}
+
+TEST(RushAtStart, FirstCallsOfAFleetSpreadOverTheWholeList) {
+  std::map<std::string, int> spread;
+  for (const auto& w : Fleet(500)) {
+    w->List(20);
+    ++spread[w->Serve()];
+  }
+  EXPECT_EQ(spread.size(), 20u);
+  for (const auto& [id, calls] : spread) EXPECT_LT(calls, 60) << id << ", 25 are its share";
+}
+
+// A trickle: a call served every second, after the first seconds in which the rate is not known yet.
+std::map<std::string, int> Trickle(World& w, int calls) {
+  std::map<std::string, int> spread;
+  for (int i = 0; i < calls; ++i) {
+    w.Advance(1s);
+    ++spread[w.Serve()];
+  }
+  return spread;
+}
+
+TEST(ColdConnections, ATrickleKeepsToAFewUpstreams) {
+  std::map<std::string, int> fleet;
+  for (std::size_t self = 0; self < 100; ++self) {
+    Settings settings = DefaultSettings();
+    settings.balancers = 100;
+    settings.self = self;
+    World w(settings, 100 + self);
+    w.List(20);
+    Trickle(w, 4);
+    const std::map<std::string, int> own = Trickle(w, 20);
+    EXPECT_LE(own.size(), 6u);
+    EXPECT_GE(own.size(), 3u);
+    for (const auto& [id, calls] : own) fleet[id] += calls;
+  }
+  ASSERT_EQ(fleet.size(), 20u);
+  for (const auto& [id, calls] : fleet) EXPECT_LT(calls, 200) << id << ", 100 are its share";
+}
+
+TEST(ColdConnections, AChangeOfTheListLeavesTheRestOfTheSubset) {
+  World w;
+  w.List(20);
+  Trickle(w, 5);
+  const std::map<std::string, int> before = Trickle(w, 20);
+  UpstreamInfo gone = Up(before.begin()->first, UpstreamState::kGone);
+  w.Change(gone);
+  const std::map<std::string, int> after = Trickle(w, 20);
+  int kept = 0;
+  for (const auto& [id, calls] : before) kept += static_cast<int>(after.count(id));
+  EXPECT_GE(kept, static_cast<int>(before.size()) - 2);
+  EXPECT_EQ(after.count(gone.id.value), 0u);
+}
+
+TEST(ColdConnections, WithCallsEnoughItIsTheWholeList) {
+  World w;
+  w.List(20);
+  for (int i = 0; i < 300; ++i) {
+    w.Advance(10ms);
+    w.Serve();
+  }
+  EXPECT_EQ(w.Spread(200).size(), 20u);
+}
+
+TEST(UnequalMachines, AnUpstreamNeverMetIsTakenForItsKind) {
+  World w;
+  std::vector<UpstreamInfo> list;
+  for (const char id : {'a', 'b', 'c', 'd', 'e', 'f'}) {
+    list.push_back(Up(std::string(1, id)));
+    list.back().kind = id < 'd' ? "slow" : "fast";
+  }
+  w.Full(list);
+  const auto serve = [&w] {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    const bool slow = w.sent[before].upstream < "d";
+    w.now += slow ? 60ms : 20ms;
+    w.Finish(w.sent[before], Outcome::kServed);
+  };
+  for (int i = 0; i < 60; ++i) serve();
+  // Six more, three of each kind; none of them has answered anything yet.
+  for (const char id : {'u', 'v', 'w', 'x', 'y', 'z'}) {
+    UpstreamInfo info = Up(std::string(1, id));
+    info.kind = id < 'x' ? "slow" : "fast";
+    w.Change(info);
+  }
+  int fast = 0, slow = 0;
+  for (int i = 0; i < 200; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    const std::string& id = w.sent[before].upstream;
+    fast += id >= "x";
+    slow += id >= "u" && id < "x";
+    w.now += 1ms;
+    w.Finish(w.sent[before], Outcome::kCancelled);  // teaches nothing
+  }
+  EXPECT_GT(fast, 2 * slow);
+}
+
+// ---- Where upstreams tell their load when probed ----
+
+Settings Reporting() {
+  Settings settings = DefaultSettings();
+  settings.load_by_probe = settings.limits.probes = true;
+  settings.prices.probe = 0.002;
+  return settings;
+}
+
+void Report(World& w, const std::string& id, double held, double rate = 0) {
+  LoadReport load;
+  load.in_flight = held;
+  load.rate = rate;
+  w.Do(ProbeEnded{{id}, Outcome::kServed, 1ms, load});
+}
+
+TEST(OtherSidecarsQueues, TheLeastLoadedOfTheNextInTurnTakesTheCall) {
+  World w(Reporting());
+  w.List(6);
+  for (int i = 0; i < 12; ++i) {
+    w.probed.clear();
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    ASSERT_EQ(w.probed.size(), 3u);
+    ASSERT_EQ(w.sent.size(), before) << "waits for the reports";
+    const std::vector<std::string> asked = w.probed;
+    Report(w, asked[0], 9);
+    Report(w, asked[1], 2);
+    Report(w, asked[2], 5);
+    ASSERT_EQ(w.sent.size(), before + 1);
+    EXPECT_EQ(w.sent.back().upstream, asked[1]);
+    w.now += 10ms;
+    w.Finish(w.sent.back(), Outcome::kServed);
+  }
+}
+
+TEST(OtherSidecarsQueues, ASilentProbeHoldsACallForAMomentAndIsAFailure) {
+  World w(Reporting());
+  w.List(6);
+  w.Arrive(kUnsafe);
+  const std::string silent = w.probed[0], well = w.probed[1];
+  Report(w, well, 50);
+  EXPECT_TRUE(w.sent.empty());
+  w.Advance(30ms);
+  ASSERT_EQ(w.sent.size(), 1u) << "one attempt, no copy of a call that is not late";
+  EXPECT_EQ(w.sent.back().upstream, well) << "of those that answered";
+  w.Finish(w.sent.back(), Outcome::kServed);
+  for (int i = 0; i < 2; ++i) w.Do(ProbeEnded{{silent}, Outcome::kTimeout, 400ms, {}});
+  w.probed.clear();
+  for (int i = 0; i < 5; ++i) w.Arrive(kUnsafe);
+  EXPECT_EQ(std::count(w.probed.begin(), w.probed.end(), silent), 0) << "a suspect now";
+}
+
+TEST(OtherSidecarsQueues, ACallThatEndsWhileItWaitsIsNotSent) {
+  World w(Reporting());
+  w.List(6);
+  const RequestId gone = w.Arrive(kUnsafe);
+  w.Do(RequestGone{gone});
+  for (const std::string& id : std::vector<std::string>(w.probed)) Report(w, id, 1);
+  w.Advance(3s);
+  EXPECT_TRUE(w.sent.empty());
+  EXPECT_TRUE(w.refused.empty());
+}
+
+TEST(JammedFleet, ACallIsRefusedWhereAllThatWereAskedHoldTooMuch) {
+  World w(Reporting());
+  w.List(6);
+  const RequestId late = w.Arrive(kUnsafe);  // its aim is 400 ms
+  for (const std::string& id : std::vector<std::string>(w.probed)) Report(w, id, 40, 50);
+  EXPECT_TRUE(w.sent.empty());
+  ASSERT_EQ(w.refused.size(), 1u);
+  EXPECT_EQ(w.refused.back(), late);
+  EXPECT_TRUE(w.Logged("refusing: overload, upstreams hold more than they can serve in time"));
+  w.probed.clear();
+  w.Arrive(kUnsafe);
+  const std::vector<std::string> asked = w.probed;
+  for (const std::string& id : asked) Report(w, id, id == asked[2] ? 10 : 40, 50);
+  ASSERT_EQ(w.sent.size(), 1u);
+  EXPECT_EQ(w.sent.back().upstream, asked[2]);
+}
+
+TEST(JammedFleet, ACallThatMayNotBeRepeatedIsGivenUpAtItsAimUnderOverloadOnly) {
+  World w;
+  w.List(4);
+  w.Arrive(kUnsafe);
+  EXPECT_EQ(w.sent.back().timeout, Duration(2s));
+  w.Finish(w.sent.back(), Outcome::kServed);
+  for (int i = 0; i < 40; ++i) {  // answers past their aim of 400 ms
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    w.Advance(500ms);
+    if (w.sent.size() > before) w.Finish(w.sent[before], Outcome::kServed);
+  }
+  const std::size_t before = w.sent.size();
+  for (int i = 0; i < 10 && w.sent.size() == before; ++i) w.Arrive(kUnsafe);
+  ASSERT_GT(w.sent.size(), before);
+  EXPECT_EQ(w.sent.back().timeout, Duration(400ms));
+}
+
+TEST(SlowHandshakes, CallsKeepToConnectionsWhileConnectingFails) {
+  World w;
+  w.List(6);
+  std::set<std::string> connected;
+  for (int i = 0; i < 3; ++i) connected.insert(w.Serve(kUnsafe));
+  // Whoever else is called gets no connection.
+  for (int i = 0; i < 60; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    for (std::size_t k = before; k < w.sent.size(); ++k) {
+      w.now += 5ms;
+      const bool has = connected.count(w.sent[k].upstream) > 0;
+      w.Finish(w.sent[k], has ? Outcome::kServed : Outcome::kConnectFailed);
+    }
+    w.Advance(20ms);
+  }
+  int elsewhere = 0;
+  for (int i = 0; i < 30; ++i) elsewhere += connected.count(w.Serve(kUnsafe)) == 0;
+  EXPECT_EQ(elsewhere, 0);
+}
+
+TEST(ConnectionsDroppedUnseen, IdleOnesAreClosedBeforeTheAgeAtWhichOneWasFoundDropped) {
+  World w;
+  w.List(1);
+  w.Serve(kUnsafe);
+  w.Advance(2s);
+  EXPECT_EQ(w.Serve(kUnsafe), "a");
+  EXPECT_TRUE(w.closed.empty()) << "trusted until one is found dropped";
+  w.Advance(2s);
+  w.Arrive(kUnsafe);
+  w.now += 1ms;
+  w.Finish(w.sent.back(), Outcome::kReset);
+  w.Serve(kUnsafe);
+  w.Advance(1500ms);
+  w.Serve(kUnsafe);
+  EXPECT_EQ(w.closed, std::vector<std::string>{"a"}) << "idle for longer than half of that";
+  w.Advance(500ms);
+  w.Serve(kUnsafe);
+  EXPECT_EQ(w.closed.size(), 1u) << "used not long ago";
+  w.Advance(90s);
+  w.Serve(kUnsafe);
+  w.closed.clear();
+  w.Advance(10s);
+  w.Serve(kUnsafe);
+  EXPECT_TRUE(w.closed.empty()) << "trusted again with time";
+}
+
+TEST(ConnectionsDroppedUnseen, AResetInTheMiddleOfACallSaysNothingOfIdleOnes) {
+  World w;
+  w.List(1);
+  w.Serve(kUnsafe);
+  w.Advance(2s);
+  w.Arrive(kUnsafe);
+  w.now += 200ms;
+  w.Finish(w.sent.back(), Outcome::kReset);
+  w.Serve(kUnsafe);
+  w.Advance(1500ms);
+  w.Serve(kUnsafe);
+  EXPECT_TRUE(w.closed.empty());
+}
+
+}  // namespace
+}  // namespace kestrellb::testing
--- /dev/null
+++ b/tests/helpers.h
@@ -0,0 +1,203 @@
+// A small world around one balancer, for tests through handle().
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "gtest/gtest.h"
+#include "kestrellb/balancer.h"
+
+namespace kestrellb::testing {
+
+using namespace std::chrono_literals;
+
+inline RequestClass Class(std::string name, Effect effect) {
+  RequestClass c;
+  c.name = std::move(name);
+  c.aim = 400ms;
+  c.deadline = 2s;
+  c.effect = effect;
+  c.key_window = 5s;
+  return c;
+}
+
+inline constexpr ClassId kSafe{0};
+inline constexpr ClassId kUnsafe{1};
+inline constexpr ClassId kKeyedAll{2};
+inline constexpr ClassId kKeyedZone{3};
+inline constexpr ClassId kKeyedCell{4};
+
+inline Settings DefaultSettings() {
+  Settings s;
+  s.classes = {Class("safe", Effect::kSafe), Class("unsafe", Effect::kUnsafe),
+               Class("keyed-all", Effect::kKeyed), Class("keyed-zone", Effect::kKeyed),
+               Class("keyed-cell", Effect::kKeyed)};
+  s.classes[3].key_scope = KeyScope::kZone;
+  s.classes[4].key_scope = KeyScope::kCell;
+  s.zone = "here";
+  s.limits.max_attempts = 4;
+  s.limits.second_copies = true;
+  return s;
+}
+
+inline UpstreamInfo Up(std::string id, UpstreamState state = UpstreamState::kServing) {
+  UpstreamInfo info;
+  info.id.value = std::move(id);
+  info.zone = "here";
+  info.state = state;
+  return info;
+}
+
+struct Sent {
+  RequestId request{};
+  AttemptId attempt{};
+  std::string upstream;
+  Duration timeout{};
+  TimePoint at;
+};
+
+class World {
+ public:
+  explicit World(Settings settings = DefaultSettings(), std::uint64_t seed = 7)
+      : balancer_(std::move(settings), seed) {}
+
+  // Upstreams "a", "b", ... up to `count`.
+  void List(int count) {
+    MembershipUpdate update;
+    update.kind = MembershipUpdate::Kind::kRestored;
+    for (int i = 0; i < count; ++i)
+      update.upstreams.push_back(Up(std::string(1, static_cast<char>('a' + i))));
+    Do(update);
+  }
+  void Full(std::vector<UpstreamInfo> list) {
+    Do(MembershipUpdate{MembershipUpdate::Kind::kFull, std::move(list)});
+  }
+  void Change(UpstreamInfo info) {
+    Do(MembershipUpdate{MembershipUpdate::Kind::kChanges, {std::move(info)}});
+  }
+
+  // Hands over one event; everything it caused is in `actions` (this event's only) and in the records below.
+  void Do(const Event& event) {
+    actions.clear();
+    balancer_.handle(now, event, actions);
+    for (const Action& action : actions) std::visit([this](const auto& a) { Record(a); }, action);
+  }
+
+  RequestId Arrive(ClassId cls = kSafe, Duration patience = 2s) {
+    RequestArrived e;
+    e.request = RequestId{++last_request_};
+    e.request_class = cls;
+    e.deadline = now + patience;
+    Do(e);
+    return e.request;
+  }
+
+  void Finish(const Sent& sent, Outcome outcome, bool finished = false) {
+    Do(AttemptEnded{
+        sent.request, sent.attempt, outcome, now - sent.at, finished || outcome == Outcome::kServed, {}});
+  }
+
+  // Moves the clock on and fires the timers that come due on the way, in order.
+  void Advance(Duration by) {
+    const TimePoint end = now + by;
+    while (!timers.empty() && timers.begin()->first <= end) {
+      now = std::max(now, timers.begin()->first);
+      const std::uint64_t token = timers.begin()->second;
+      timers.erase(timers.begin());
+      Do(TimerFired{token});
+    }
+    now = end;
+  }
+
+  // Ends every attempt sent from number `from` on: with `outcome` at `bad`, served elsewhere. How many hit
+  // `bad`.
+  int Answer(std::size_t from, const std::string& bad = "", Outcome outcome = Outcome::kServed) {
+    int hits = 0;
+    bool served = false;
+    for (std::size_t i = from; i < sent.size(); ++i) {
+      const Sent attempt = sent[i];
+      const bool hit = attempt.upstream == bad;
+      hits += hit;
+      Finish(attempt, hit ? outcome : Outcome::kServed, served);
+      served = served || !hit || outcome == Outcome::kServed;
+    }
+    return hits;
+  }
+
+  // A request that is served at once: the upstream that took it, or "".
+  std::string Serve(ClassId cls = kSafe) {
+    const std::size_t before = sent.size();
+    Arrive(cls);
+    now += 10ms;
+    Answer(before);
+    return sent.size() == before ? "" : sent[before].upstream;
+  }
+
+  // Calls each served, but those to `bad`, which end with `outcome`; until `bad` has had `failures`. Slow
+  // enough for trials, that are all an upstream under suspicion is sent.
+  void FailRun(const std::string& bad, int failures, Outcome outcome = Outcome::kError) {
+    for (int guard = 0; failures > 0 && guard < 3000; ++guard) {
+      const std::size_t before = sent.size();
+      Arrive(kSafe);
+      now += 10ms;
+      failures -= Answer(before, bad, outcome);
+      if (failures > 0) Advance(100ms);
+    }
+    EXPECT_LE(failures, 0) << bad << " took too few calls";
+  }
+
+  // How often each upstream is picked in `calls` served calls.
+  std::map<std::string, int> Spread(int calls, ClassId cls = kSafe) {
+    std::map<std::string, int> spread;
+    for (int i = 0; i < calls; ++i) ++spread[Serve(cls)];
+    return spread;
+  }
+
+  bool Logged(const std::string& part) const {
+    for (const std::string& line : logs) {
+      if (line.find(part) != std::string::npos) return true;
+    }
+    return false;
+  }
+
+  TimePoint now{1000s};
+  std::vector<Action> actions;
+  std::vector<Sent> sent;
+  std::vector<RequestId> refused;
+  std::vector<RequestId> failed;
+  std::vector<std::pair<RequestId, AttemptId>> cancelled;
+  std::vector<std::string> logs;
+  std::vector<std::string> probed;
+  std::vector<std::string> closed;
+  int subscribed = 0;
+  Duration last_retry_after{};
+  std::multimap<TimePoint, std::uint64_t> timers;
+
+ private:
+  void Record(const SendAttempt& a) {
+    EXPECT_GT(a.timeout, Duration::zero());
+    sent.push_back({a.request, AttemptId{attempts_[a.request]++}, a.upstream.value, a.timeout, now});
+  }
+  void Record(const CancelAttempt& a) { cancelled.emplace_back(a.request, a.attempt); }
+  void Record(const Refuse& a) {
+    refused.push_back(a.request);
+    last_retry_after = a.retry_after;
+  }
+  void Record(const Fail& a) { failed.push_back(a.request); }
+  void Record(const SetTimer& a) { timers.emplace(a.at, a.token); }
+  void Record(const SendProbe& a) { probed.push_back(a.upstream.value); }
+  void Record(const CloseIdle& a) { closed.push_back(a.upstream.value); }
+  void Record(const Subscribe&) { ++subscribed; }
+  void Record(const Log& a) { logs.push_back(a.text); }
+
+  Balancer balancer_;
+  std::uint64_t last_request_ = 0;
+  std::map<RequestId, std::size_t> attempts_;
+};
+
+}  // namespace kestrellb::testing
--- /dev/null
+++ b/tests/module_test.cpp
@@ -0,0 +1,351 @@
+// The mechanism: one small test for each thing that the design or a failure asks of it.
+#include <deque>
+#include <stdexcept>
+
+#include "helpers.h"
+
+namespace kestrellb::testing {
+namespace {
+
+// ---- The design ----
+
+TEST(Ejection, FiveFailuresInARowEject) {
+  for (const Outcome o : {Outcome::kError, Outcome::kTimeout, Outcome::kConnectFailed, Outcome::kReset}) {
+    World w;
+    w.List(4);
+    w.FailRun("b", 4, o);
+    EXPECT_FALSE(w.Logged("ejected b")) << static_cast<int>(o);
+    w.FailRun("b", 1, o);
+    EXPECT_TRUE(w.Logged("ejected b")) << static_cast<int>(o);
+    EXPECT_EQ(w.Spread(40)["b"], 0);
+  }
+}
+
+TEST(Ejection, AServedAnswerClearsTheRun) {
+  World w;
+  w.List(4);
+  w.FailRun("b", 4);
+  w.Advance(2s);
+  w.Spread(40);  // a trial among them
+  w.FailRun("b", 4);
+  EXPECT_FALSE(w.Logged("ejected"));
+}
+
+TEST(Ejection, ARefusalAsFullOrACallCalledOffLeavesTheRunAlone) {
+  for (const Outcome o : {Outcome::kFull, Outcome::kCancelled, Outcome::kNotSent}) {
+    World w;
+    w.List(4);
+    w.FailRun("b", 4);
+    w.FailRun("b", 3, o);
+    EXPECT_FALSE(w.Logged("ejected"));
+    w.FailRun("b", 1);
+    EXPECT_TRUE(w.Logged("ejected b"));
+  }
+}
+
+TEST(Ejection, RelapsesDoubleItUpToTheMostAndAQuietBaseTimeResetsIt) {
+  World w;
+  w.List(4);
+  const auto eject_and_return = [&w] {
+    w.logs.clear();
+    w.FailRun("b", 5);
+    EXPECT_FALSE(w.logs.empty());
+    const std::string line = w.logs.empty() ? "" : w.logs.front();
+    w.Advance(1500ms);
+    w.Spread(5);  // two trials among them
+    EXPECT_TRUE(w.Logged("returned b"));
+    return line;
+  };
+  EXPECT_NE(eject_and_return().find("ejected b for 60000 ms"), std::string::npos);
+  EXPECT_NE(eject_and_return().find("ejected b for 120000 ms"), std::string::npos);
+  EXPECT_NE(eject_and_return().find("ejected b for 120000 ms"), std::string::npos);
+  w.Advance(61s);
+  EXPECT_NE(eject_and_return().find("ejected b for 60000 ms"), std::string::npos);
+}
+
+TEST(Ejection, ARestartedProcessHasACleanRecord) {
+  World w;
+  w.List(4);
+  w.FailRun("b", 5);
+  ASSERT_TRUE(w.Logged("ejected b"));
+  UpstreamInfo b = Up("b");
+  b.started = w.now - 1h;  // new to this sidecar, warm by now
+  w.Change(b);
+  EXPECT_GT(w.Spread(40)["b"], 0);
+}
+
+TEST(Rotation, EqualUpstreamsTakeEqualTurns) {
+  World w;
+  w.List(4);
+  for (const auto& [id, calls] : w.Spread(400)) EXPECT_NEAR(calls, 100, 3) << id;
+}
+
+TEST(Rotation, TurnsFollowTheWeightsSmoothly) {
+  World w;
+  UpstreamInfo heavy = Up("heavy");
+  heavy.weight = 3;
+  w.Full({heavy, Up("a")});
+  int in_a_row = 0, most = 0, calls = 0;
+  for (int i = 0; i < 400; ++i) {
+    const bool hit = w.Serve() == "heavy";
+    calls += hit;
+    in_a_row = hit ? in_a_row + 1 : 0;
+    most = std::max(most, in_a_row);
+  }
+  EXPECT_NEAR(calls, 300, 6);
+  EXPECT_LE(most, 4);
+}
+
+TEST(Rotation, ANewcomerBringsNoHoardOfCredit) {
+  World w;
+  w.List(4);
+  w.Spread(200);
+  w.Change(Up("z"));
+  int in_a_row = 0;
+  for (int i = 0; i < 20; ++i) {
+    in_a_row = w.Serve() == "z" ? in_a_row + 1 : 0;
+    EXPECT_LE(in_a_row, 1);
+  }
+}
+
+// ---- Where the design was extended: one test for each symptom ----
+
+TEST(FleetWideTimeouts, DoNotEjectHealthyUpstreams) {
+  World w;
+  w.List(6);
+  // Half of all calls fail, everywhere alike: runs of five come by chance.
+  std::uint64_t coin = 12345;
+  int ejections = 0;
+  for (int i = 0; i < 1500; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    w.now += 20ms;
+    coin = coin * 6364136223846793005u + 1442695040888963407u;
+    for (std::size_t k = before; k < w.sent.size(); ++k) {
+      w.Finish(w.sent[k], (coin >> 40) % 2 == 0 ? Outcome::kTimeout : Outcome::kServed, true);
+    }
+  }
+  for (const std::string& line : w.logs) ejections += line.find("ejected ") == 0;
+  EXPECT_LE(ejections, 3);
+}
+
+TEST(EjectedUpstream, IsTriedByCopiesAndReturnsOnceItServes) {
+  World w;
+  w.List(4);
+  w.FailRun("b", 5);
+  ASSERT_TRUE(w.Logged("ejected b"));
+  w.Advance(1500ms);
+  const std::size_t before = w.sent.size();
+  w.Arrive(kSafe);
+  ASSERT_EQ(w.sent.size(), before + 2) << "the call and the copy that is the trial";
+  EXPECT_NE(w.sent[before].upstream, "b");
+  EXPECT_EQ(w.sent[before + 1].upstream, "b");
+  w.now += 10ms;
+  w.Answer(before);
+  w.Serve();
+  EXPECT_TRUE(w.Logged("returned b after it served on trial"));
+}
+
+TEST(EjectedUpstream, UnsafeCallsAreNoTrials) {
+  World w;
+  w.List(4);
+  w.FailRun("b", 5);
+  w.Advance(1500ms);
+  const std::size_t before = w.sent.size();
+  w.Arrive(kUnsafe);
+  EXPECT_EQ(w.sent.size(), before + 1);
+}
+
+TEST(EjectedUpstream, TrialsThatFailGrowRarer) {
+  World w;
+  w.List(3);
+  w.FailRun("b", 5);
+  int trials = 0;
+  for (int i = 0; i < 300; ++i) {  // 30 s: after 1, 2, 4 and 8 s, then every 8
+    const std::size_t before = w.sent.size();
+    w.Arrive(kSafe);
+    w.now += 10ms;
+    trials += w.Answer(before, "b", Outcome::kTimeout);
+    w.Advance(90ms);
+  }
+  EXPECT_GE(trials, 4);
+  EXPECT_LE(trials, 6);
+}
+
+TEST(EjectedUpstream, ServesAsTheLastResortRatherThanRefusingAll) {
+  World w;
+  w.List(1);
+  w.FailRun("a", 5);
+  ASSERT_TRUE(w.Logged("ejected a"));
+  w.Advance(1500ms);
+  EXPECT_EQ(w.Serve(), "a");
+}
+
+TEST(AllEjected, RefusesWithARetryAfterAndSaysSo) {
+  World w;
+  w.List(1);
+  w.FailRun("a", 5);
+  const std::size_t refused = w.refused.size();
+  w.Arrive(kUnsafe);
+  EXPECT_EQ(w.refused.size(), refused + 1);
+  EXPECT_GT(w.last_retry_after, 0ms);
+  EXPECT_TRUE(w.Logged("refusing: no upstream can take a call"));
+  w.Advance(70s);
+  EXPECT_TRUE(w.Logged("taking calls again"));
+  EXPECT_TRUE(w.Logged("returned a after its ejection"));
+}
+
+TEST(HungUpstream, IsPassedOverBeforeFiveTimeouts) {
+  World w;
+  w.List(4);
+  w.Spread(100);  // about 10 ms each
+  for (int i = 0; i < 40; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    w.now += 10ms;
+    for (std::size_t k = before; k < w.sent.size(); ++k) {
+      if (w.sent[k].upstream != "c") w.Finish(w.sent[k], Outcome::kServed);
+    }
+  }
+  int stuck = 0;
+  for (std::size_t k = w.sent.size() - 40; k < w.sent.size(); ++k) stuck += w.sent[k].upstream == "c";
+  EXPECT_LE(stuck, 2);
+  EXPECT_FALSE(w.Logged("ejected"));
+}
+
+TEST(SlowUpstream, TakesFewerCalls) {
+  World w;
+  w.List(4);
+  std::map<std::string, int> spread;
+  for (int i = 0; i < 600; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    const Sent call = w.sent[before];
+    w.now += call.upstream == "d" ? 40ms : 10ms;
+    w.Finish(call, Outcome::kServed);
+    if (i >= 200) ++spread[call.upstream];
+  }
+  EXPECT_LT(spread["d"], spread["a"] * 2 / 3);
+  EXPECT_GT(spread["d"], 0);
+}
+
+TEST(FullUpstream, IsLeftAloneForAMoment) {
+  World w;
+  w.List(3);
+  w.Spread(30);
+  const std::size_t before = w.sent.size();
+  w.Arrive(kUnsafe);
+  const std::string full = w.sent[before].upstream;
+  w.Finish(w.sent[before], Outcome::kFull);
+  w.Answer(before + 1);
+  for (int i = 0; i < 6; ++i) {
+    w.Arrive(kUnsafe);
+    EXPECT_NE(w.sent.back().upstream, full);
+  }
+}
+
+TEST(LateCall, GetsASecondCopyElsewhere) {
+  World w;
+  w.List(4);
+  w.Spread(100);
+  const std::size_t before = w.sent.size();
+  w.Arrive(kSafe);
+  w.Advance(100ms);
+  ASSERT_EQ(w.sent.size(), before + 2);
+  EXPECT_NE(w.sent[before].upstream, w.sent[before + 1].upstream);
+  w.Finish(w.sent[before + 1], Outcome::kServed);
+  EXPECT_EQ(w.cancelled.back().second, AttemptId{0}) << "the loser is called off";
+}
+
+TEST(RetryStorm, FurtherAttemptsAreBounded) {
+  World w;
+  w.List(4);
+  for (int i = 0; i < 500; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kSafe);
+    w.now += 10ms;
+    for (std::size_t k = before; k < w.sent.size(); ++k) w.Finish(w.sent[k], Outcome::kError);
+  }
+  EXPECT_LE(w.sent.size(), 500u + 100u + 10u + 50u) << "first tries, a fifth, the burst, and trials";
+}
+
+TEST(Overload, LateAnswersLimitTheCallsHeldAndTheLimitGoesAgain) {
+  World w;
+  w.List(4);
+  std::deque<Sent> out;
+  const auto run = [&](int calls, Duration time) {
+    std::size_t taken = 0;
+    for (int i = 0; i < calls; ++i) {
+      const std::size_t before = w.sent.size();
+      w.Arrive(kUnsafe);
+      taken += w.sent.size() - before;
+      for (std::size_t k = before; k < w.sent.size(); ++k) out.push_back(w.sent[k]);
+      w.Advance(10ms);
+      while (!out.empty() && w.now - out.front().at >= time) {
+        w.Finish(out.front(), Outcome::kServed);
+        out.pop_front();
+      }
+    }
+    return taken;
+  };
+  EXPECT_EQ(run(300, 100ms), 300u);
+  run(300, 390ms);  // the aim is 400 ms
+  EXPECT_TRUE(w.Logged("refusing: overload"));
+  EXPECT_LT(out.size(), 30u);
+  run(600, 50ms);
+  EXPECT_EQ(run(100, 50ms), 100u);
+  EXPECT_TRUE(w.Logged("taking calls again"));
+}
+
+TEST(Discovery, ASubscriptionIsAskedForAndAskedAgainAfterAFailure) {
+  Settings s = DefaultSettings();
+  s.membership_on_request = true;
+  World w(s);
+  w.List(2);
+  EXPECT_EQ(w.subscribed, 1);
+  w.Do(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}});
+  EXPECT_EQ(w.subscribed, 1) << "not at once";
+  w.Advance(s.rules.ask_within / 2);
+  EXPECT_EQ(w.subscribed, 2);
+  EXPECT_GT(w.Spread(10)["a"], 0) << "the old list holds";
+}
+
+TEST(Settings, ThoseThatMakeNoSenseAreNamed) {
+  const auto named = [](auto change, const std::string& name) {
+    Settings s = DefaultSettings();
+    change(s);
+    try {
+      Balancer balancer(s, 1);
+    } catch (const std::invalid_argument& e) {
+      return std::string(e.what()).find(name) != std::string::npos;
+    }
+    return false;
+  };
+  EXPECT_TRUE(named([](Settings& s) { s.classes.clear(); }, "classes"));
+  EXPECT_TRUE(named([](Settings& s) { s.classes[0].aim = 0ms; }, "aim"));
+  EXPECT_TRUE(named([](Settings& s) { s.classes[0].deadline = -1ms; }, "deadline"));
+  EXPECT_TRUE(named([](Settings& s) { s.classes[2].key_window = 0ms; }, "key_window"));
+  EXPECT_TRUE(named([](Settings& s) { s.limits.max_attempts = 0; }, "max_attempts"));
+  EXPECT_TRUE(named([](Settings& s) { s.rules.cold_from = 0; }, "cold_from"));
+  EXPECT_TRUE(named([](Settings& s) { s.rules.cold_from = 1.5; }, "cold_from"));
+  EXPECT_TRUE(named([](Settings& s) { s.rules.cold_time = 0ms; }, "cold_time"));
+  EXPECT_TRUE(named([](Settings& s) { s.rules.fall_window = 0ms; }, "fall_window"));
+  EXPECT_TRUE(named([](Settings& s) { s.rules.fall_multiple = 0; }, "fall_multiple"));
+}
+
+TEST(Determinism, SameEventsSameActions) {
+  World a, b;
+  for (World* w : {&a, &b}) {
+    w->List(5);
+    w->Spread(50);
+    w->FailRun("c", 5);
+    w->Spread(50);
+    w->Advance(3s);
+  }
+  ASSERT_EQ(a.sent.size(), b.sent.size());
+  for (std::size_t i = 0; i < a.sent.size(); ++i) EXPECT_EQ(a.sent[i].upstream, b.sent[i].upstream);
+  EXPECT_EQ(a.logs, b.logs);
+}
+
+}  // namespace
+}  // namespace kestrellb::testing
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,200 @@
+// The adapter: JSON to events, actions to JSON, and what it says of lines that are no batch.
+#include "wire.h"
+
+#include "gtest/gtest.h"
+
+namespace kestrellb::wire {
+namespace {
+
+using nlohmann::json;
+
+json Params() {
+  return json::parse(R"({
+    "Classes": [{"Name": "page", "Aim": 400000, "HardLimit": 1000000, "Effect": "read_like", "KeyScope": "all",
+                 "Window": 5000000, "Worth": 5.0, "LateWorth": 0.25, "Stream": false, "Unknown": 3}],
+    "Tenants": [{"Name": "t", "Share": 0.5, "QuotaPerS": 12.5}],
+    "Limits": {"MaxAttempts": 6, "SecondCopies": true, "MayProbe": true, "Cancelling": false},
+    "Rules": {"Cold": 24000000, "ColdFrom": 0.13, "Fall": 1500000, "FallMultiple": 4.0},
+    "Prices": {"CrossZone": 0.03}, "MembershipMode": "on_request", "PeersTotal": 3, "Zone": "here", "New": {}})");
+}
+
+json Launch(int instance) {
+  return {{"event_type", "Launch"}, {"I", instance}, {"Seed", 9}, {"Params", Params()}};
+}
+
+json Order(int instance, const char* handle) {
+  return {{"event_type", "Order"}, {"I", instance},    {"Handle", handle},         {"Work", nullptr},
+          {"Billing", nullptr},    {"Update", false},  {"ClientDeadline", 900000}, {"IsRetry", false},
+          {"Category", "page"},    {"Object", nullptr}};
+}
+
+json Census(int number, const char* upstream) {
+  return {{"event_type", "Census"},
+          {"RosterId", number},
+          {"Items",
+           {{{"Upstream", upstream},
+             {"FailureDomain", "here"},
+             {"Kind", "k"},
+             {"Block", 0},
+             {"Status", "on"},
+             {"Share", 1.5},
+             {"BootTime", nullptr}}}}};
+}
+
+json Membership(int instance, int number) {
+  return {{"event_type", "Membership"}, {"I", instance}, {"How", "disk"}, {"Rev", 1}, {"RosterId", number}};
+}
+
+json Reply(Host& host, json news, std::int64_t clock = 1000) {
+  return json::parse(host.Reply(json{{"Clock", clock}, {"news", std::move(news)}}.dump())).at("cmds");
+}
+
+// What the adapter says of a line that it cannot use; empty where it has no objection.
+std::string Objection(const std::string& line) {
+  Host host;
+  try {
+    host.Reply(line);
+  } catch (const Error& e) {
+    return e.what();
+  }
+  return "";
+}
+
+std::string ObjectionTo(json item) {
+  return Objection(json{{"Clock", 1}, {"news", {std::move(item)}}}.dump());
+}
+
+json Only(const json& cmds, const char* type) {
+  json found;
+  for (const json& cmd : cmds) {
+    if (cmd.at("event_type") == type) found = cmd;
+  }
+  return found;
+}
+
+TEST(Wire, ReadsTheSettings) {
+  const Settings s = ParseSettings(Params());
+  ASSERT_EQ(s.classes.size(), 1u);
+  EXPECT_EQ(s.classes[0].aim, Duration(400000));
+  EXPECT_EQ(s.classes[0].deadline, Duration(1000000));
+  EXPECT_EQ(s.classes[0].effect, Effect::kSafe);
+  EXPECT_DOUBLE_EQ(s.classes[0].late_worth, 0.25);
+  ASSERT_EQ(s.tenants.size(), 1u);
+  EXPECT_DOUBLE_EQ(s.tenants[0].quota_per_s, 12.5);
+  EXPECT_EQ(s.limits.max_attempts, 6u);
+  EXPECT_FALSE(s.limits.cancel);
+  EXPECT_EQ(s.rules.fall_window, Duration(1500000));
+  EXPECT_DOUBLE_EQ(s.rules.cold_from, 0.13);
+  EXPECT_DOUBLE_EQ(s.prices.cross_zone, 0.03);
+  EXPECT_TRUE(s.membership_on_request);
+  EXPECT_EQ(s.balancers, 3u);
+}
+
+TEST(Wire, AnEmptyBatchHasAnEmptyReply) {
+  Host host;
+  EXPECT_EQ(host.Reply(R"({"Clock":8412250,"news":[]})"), R"({"cmds":[]})");
+}
+
+TEST(Wire, AnOrderIsForwardedToAListedUpstreamAndItsOutcomeIsRead) {
+  Host host;
+  const json cmds =
+      Reply(host, {Launch(3), Census(0, "10.0.0.1:80"), Membership(3, 0), Order(3, "00000000000000ff")});
+  const json forward = Only(cmds, "Forward");
+  EXPECT_EQ(forward.at("I"), 3);
+  EXPECT_EQ(forward.at("Handle"), "00000000000000ff");
+  EXPECT_EQ(forward.at("Upstream"), "10.0.0.1:80");
+  EXPECT_GT(forward.at("Patience").get<int>(), 0);
+  EXPECT_EQ(Only(cmds, "Track").at("Active"), true);
+  EXPECT_GT(Only(cmds, "Sleep").at("When").get<int>(), 1000);
+  const json end = {{"event_type", "Finished"},
+                    {"I", 3},
+                    {"Handle", "00000000000000ff"},
+                    {"Attempt", 0},
+                    {"Upstream", "10.0.0.1:80"},
+                    {"Code", "completed"},
+                    {"Rtt", 500},
+                    {"Finished", true},
+                    {"Stats", {{"rif", 3.0}, {"novel", 1}}}};
+  EXPECT_TRUE(Reply(host, {end}, 2000).empty());
+}
+
+TEST(Wire, ANumberedListIsResolvedInTheOrderOfTheEvents) {
+  Host host;
+  const json cmds =
+      Reply(host, {Launch(1), Census(0, "a:1"), Membership(1, 0), Order(1, "0000000000000001"), Launch(2),
+                   Census(0, "b:1"), Membership(2, 0), Order(2, "0000000000000002")});
+  for (const json& cmd : cmds) {
+    if (cmd.at("event_type") == "Forward") {
+      EXPECT_EQ(cmd.at("Upstream"), cmd.at("I") == 1 ? "a:1" : "b:1");
+    }
+  }
+}
+
+TEST(Wire, AHaltedInstanceIsForgotten) {
+  Host host;
+  Reply(host, {Launch(1), Census(0, "a:1"), Membership(1, 0)});
+  EXPECT_TRUE(Reply(host, {{{"event_type", "Halt"}, {"I", 1}}, Order(1, "0000000000000001")}).empty());
+}
+
+TEST(Wire, UnknownEventsAndFieldsAreSkipped) {
+  EXPECT_EQ(ObjectionTo({{"event_type", "Novelty"}, {"I", 1}}), "");
+  EXPECT_EQ(Objection(R"({"Clock":1,"news":[],"more":true})"), "");
+}
+
+TEST(Wire, ABadLineIsNamed) {
+  EXPECT_NE(Objection("x").find("batch"), std::string::npos);
+  EXPECT_NE(Objection(R"({"news":[]})").find("Clock"), std::string::npos);
+  EXPECT_NE(Objection(R"({"Clock":1})").find("news"), std::string::npos);
+  EXPECT_NE(Objection(R"({"Clock":1,"news":{}})").find("news"), std::string::npos);
+  EXPECT_NE(ObjectionTo(7).find("event_type"), std::string::npos);
+  EXPECT_NE(ObjectionTo({{"event_type", "Order"}}).find("I"), std::string::npos);
+  json launch = Launch(1);
+  launch["Params"].erase("Classes");
+  EXPECT_NE(ObjectionTo(launch).find("Classes"), std::string::npos);
+}
+
+TEST(Wire, ABadFieldOfAnEventIsNamedWithItsEvent) {
+  Host host;
+  Reply(host, {Launch(1), Census(0, "a:1"), Membership(1, 0)});
+  for (const char* field : {"Handle", "ClientDeadline", "Category"}) {
+    json order = Order(1, "0000000000000001");
+    order[field] = "zz";
+    try {
+      Reply(host, {order});
+      ADD_FAILURE() << field << " was taken";
+    } catch (const Error& e) {
+      EXPECT_NE(std::string(e.what()).find(field), std::string::npos) << e.what();
+      EXPECT_NE(std::string(e.what()).find("Order"), std::string::npos) << e.what();
+    }
+  }
+}
+
+TEST(Wire, SettingsThatMakeNoSenseAreReportedAsABugOfThatInstance) {
+  Host host;
+  json launch = Launch(4);
+  launch["Params"]["Rules"]["ColdFrom"] = 1.5;
+  const json bug = Only(Reply(host, {launch}), "Bug");
+  ASSERT_TRUE(bug.is_object());
+  EXPECT_EQ(bug.at("I"), 4);
+  EXPECT_NE(bug.at("ReasonText").get<std::string>().find("cold_from"), std::string::npos);
+}
+
+TEST(Wire, EveryActionHasItsForm) {
+  Host host;
+  json params = Launch(1);
+  params["Params"]["MembershipMode"] = "pushed";
+  const json none = {{"event_type", "Census"}, {"RosterId", 0}, {"Items", json::array()}};
+  json orders = {params, none, Membership(1, 0)};
+  orders.push_back(Order(1, "0000000000000001"));
+  json cmds = Reply(host, orders);
+  for (const json& cmd : Reply(host, {{{"event_type", "Ring"}, {"I", 1}, {"KeyBack", 1}}}, 2000000))
+    cmds.push_back(cmd);
+  const json deny = Only(cmds, "Deny");
+  ASSERT_TRUE(deny.is_object());
+  EXPECT_EQ(deny.at("Handle"), "0000000000000001");
+  EXPECT_GE(deny.at("Pause").get<int>(), 0);
+  EXPECT_TRUE(Only(cmds, "JournalLine").at("ReasonText").is_string());
+}
+
+}  // namespace
+}  // namespace kestrellb::wire
