--- /dev/null
+++ b/node/config.cpp
@@ -0,0 +1,111 @@
+#include "config.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <fstream>
+#include <utility>
+
+#include "wire.h"
+
+namespace mothrack {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kLeastSockets = 64;
+
+std::string Variable(const std::function<const char*(const char*)>& variable, const char* name) {
+  const char* value = variable(name);
+  if (value == nullptr || *value == '\0') throw ConfigError(std::string(name) + " is not set");
+  return value;
+}
+
+Endpoint AddressVariable(const std::function<const char*(const char*)>& variable, const char* name) {
+  const auto text = Variable(variable, name);
+  const auto endpoint = ParseEndpoint(text);
+  if (!endpoint) throw ConfigError(std::string(name) + " is no address and port: " + text);
+  return *endpoint;
+}
+
+const json& Field(const json& object, const std::string& path, const char* name) {
+  const auto it = object.find(name);
+  if (it == object.end()) throw ConfigError("LB_CONFIG: " + path + name + " is missing");
+  return *it;
+}
+
+std::uint64_t Seed(const json& file) {
+  const json& field = Field(file, "", "seed");
+  if (field.is_number_unsigned()) return field.get<std::uint64_t>();
+  std::uint64_t seed = 0;
+  if (field.is_string()) {
+    const auto& text = field.get_ref<const std::string&>();
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+    if (error == std::errc() && end == text.data() + text.size()) return seed;
+  }
+  throw ConfigError("LB_CONFIG: seed is no number in hexadecimal digits");
+}
+
+// The lower of what the deployment allows and what the system allows this process.
+std::size_t Sockets(const json& file) {
+  const json& limits = Field(file, "", "limits");
+  if (!limits.is_object()) throw ConfigError("LB_CONFIG: limits is no object");
+  const json& field = Field(limits, "limits.", "sockets");
+  if (!field.is_number_unsigned() || field.get<std::uint64_t>() < kLeastSockets) {
+    throw ConfigError("LB_CONFIG: limits.sockets is no number from " + std::to_string(kLeastSockets) + " on");
+  }
+  auto sockets = field.get<std::uint64_t>();
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
+    sockets = std::min<std::uint64_t>(sockets, limit.rlim_cur);
+  }
+  return sockets;
+}
+
+kestrellb::Settings ReadSettings(const json& file) {
+  try {
+    auto settings = kestrellb::wire::ParseSettings(Field(file, "", "settings"));
+    settings.Validate();
+    return settings;
+  } catch (const ConfigError&) {
+    throw;
+  } catch (const std::exception& e) {
+    throw ConfigError(std::string("LB_CONFIG: settings: ") + e.what());
+  }
+}
+
+}  // namespace
+
+std::optional<Endpoint> ParseEndpoint(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  std::uint16_t port = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+  if (error != std::errc() || stop != end) return std::nullopt;
+  boost::system::error_code bad;
+  const auto address = boost::asio::ip::make_address(text.substr(0, colon), bad);
+  if (bad) return std::nullopt;
+  return Endpoint(address, port);
+}
+
+Config LoadConfig(const std::function<const char*(const char*)>& variable) {
+  Config config;
+  config.name = Variable(variable, "LB_NAME");
+  config.listen = AddressVariable(variable, "LB_LISTEN");
+  config.discovery = AddressVariable(variable, "LB_DISCOVERY");
+  const auto path = Variable(variable, "LB_CONFIG");
+  std::ifstream stream(path);
+  if (!stream) throw ConfigError("LB_CONFIG: cannot read " + path);
+  const json file = json::parse(stream, nullptr, false);
+  if (!file.is_object()) throw ConfigError("LB_CONFIG: " + path + " holds no JSON object");
+  config.seed = Seed(file);
+  config.sockets = Sockets(file);
+  config.settings = ReadSettings(file);
+  if (const auto known = file.find("known"); known != file.end()) config.known = *known;
+  return config;
+}
+
+}  // namespace mothrack
--- /dev/null
+++ b/node/discovery.cpp
@@ -0,0 +1,202 @@
+#include "discovery.h"
+
+#include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+#include "http.h"
+
+namespace mothrack {
+namespace {
+
+using boost::system::error_code;
+using kestrellb::MembershipUpdate;
+using kestrellb::UpstreamInfo;
+using kestrellb::UpstreamState;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// A watch asks to be answered by then. What an agent that went silent has to say is missed for no longer.
+constexpr auto kWatch = milliseconds(5000);
+// How long a call may take beyond what it asked to wait for.
+constexpr auto kPatience = milliseconds(1000);
+// The next watch follows an answer well within the 200 ms after which it would be a new one; not sooner than
+// this after the last was sent, so that an agent that answers at once is not asked in a spin.
+constexpr auto kLeastGap = milliseconds(50);
+constexpr auto kFirstPause = milliseconds(50);
+constexpr auto kMostPause = milliseconds(1000);
+constexpr std::uint64_t kMostList = 4 * 1024 * 1024;
+
+UpstreamState ParseState(const std::string& word) {
+  if (word == "active") return UpstreamState::kServing;
+  if (word == "leaving") return UpstreamState::kDraining;
+  if (word == "left") return UpstreamState::kGone;
+  throw std::runtime_error("unknown state " + word);
+}
+
+}  // namespace
+
+MembershipList ParseList(const json& body, const UnixClock& clock) {
+  MembershipList list;
+  list.revision = body.at("rev").get<std::uint64_t>();
+  list.update.kind =
+      body.at("all").get<bool>() ? MembershipUpdate::Kind::kFull : MembershipUpdate::Kind::kChanges;
+  const json& targets = body.at("targets");
+  if (!targets.is_array()) throw std::runtime_error("targets is no array");
+  for (const json& target : targets) {
+    UpstreamInfo info;
+    info.id.value = target.at("uid").get<std::string>();
+    info.state = ParseState(target.at("state").get<std::string>());
+    info.zone = target.value("az", "");
+    info.kind = target.value("model", "");
+    info.cell = target.value("pod_group", std::int64_t{0});
+    info.weight = target.value("capacity_hint", 1.0);
+    Location location;
+    location.state = info.state;
+    location.boot_ms = target.value("boot_ms", std::int64_t{0});
+    if (location.boot_ms > 0) info.started = clock.FromMilliseconds(location.boot_ms);
+    const auto text = target.value("endpoint", "");
+    if (const auto endpoint = ParseEndpoint(text)) {
+      location.endpoint = *endpoint;
+    } else if (info.state != UpstreamState::kGone) {
+      throw std::runtime_error("bad endpoint '" + text + "' of " + info.id.value);
+    }
+    list.locations[info.id.value] = location;
+    list.update.upstreams.push_back(std::move(info));
+  }
+  return list;
+}
+
+// One connection to discovery and the call on it. A new one is made after any failure.
+class Discovery::Call : public std::enable_shared_from_this<Call> {
+ public:
+  explicit Call(Discovery& owner) : owner_(&owner), stream_(owner.io_) {}
+
+  void Start(const std::string& target, Duration patience) {
+    request_ = {http::verb::get, target, 11};
+    request_.set(http::field::host, "discovery");
+    stream_.expires_after(patience);
+    if (connected_) return Write();
+    stream_.async_connect(owner_->endpoint_, [self = shared_from_this()](error_code error) {
+      if (self->owner_ == nullptr) return;
+      if (error) return self->owner_->Failed(error.message());
+      self->connected_ = true;
+      self->Write();
+    });
+  }
+
+  bool reusable() const { return connected_; }
+
+  // Its owner wants no more of it.
+  void Drop() {
+    owner_ = nullptr;
+    stream_.close();
+  }
+
+ private:
+  void Write() {
+    http::async_write(stream_, request_, [self = shared_from_this()](error_code error, std::size_t) {
+      if (self->owner_ == nullptr) return;
+      if (error) return self->owner_->Failed(error.message());
+      self->Read();
+    });
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMostList);
+    http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
+      if (self->owner_ == nullptr) return;
+      if (error) return self->owner_->Failed(error.message());
+      const auto response = self->parser_->release();
+      if (!response.keep_alive()) self->connected_ = false;
+      self->stream_.expires_never();
+      if (response.result() != http::status::ok) {
+        return self->owner_->Failed("status " + std::to_string(response.result_int()));
+      }
+      self->owner_->Answered(response.body());
+    });
+  }
+
+  Discovery* owner_;
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  http::request<http::empty_body> request_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  bool connected_ = false;
+};
+
+Discovery::Discovery(boost::asio::io_context& io, Endpoint endpoint, bool on_request, const UnixClock& clock,
+                     Logger& log, OnList on_list, OnFailed on_failed)
+    : io_(io),
+      endpoint_(std::move(endpoint)),
+      on_request_(on_request),
+      clock_(clock),
+      log_(log),
+      on_list_(std::move(on_list)),
+      on_failed_(std::move(on_failed)),
+      pause_(io) {}
+
+Discovery::~Discovery() {
+  if (call_) call_->Drop();
+}
+
+void Discovery::Ask() {
+  if (running_) return;
+  running_ = true;
+  Start();
+}
+
+void Discovery::StartIn(Duration wait) {
+  pause_.expires_after(wait);
+  pause_.async_wait([this](error_code error) {
+    if (!error) Start();
+  });
+}
+
+void Discovery::Start() {
+  asked_ = Now();
+  if (call_ && !call_->reusable()) std::exchange(call_, nullptr)->Drop();
+  if (!call_) call_ = std::make_shared<Call>(*this);
+  if (!revision_) return call_->Start("/discovery/hosts", kPatience);
+  call_->Start("/discovery/hosts?index=" + std::to_string(*revision_) +
+                   "&wait=" + std::to_string(kWatch.count()),
+               kWatch + kPatience);
+}
+
+void Discovery::Answered(const std::string& body) {
+  MembershipList list;
+  try {
+    list = ParseList(json::parse(body), clock_);
+  } catch (const std::exception& e) {
+    return Failed(std::string("malformed list: ") + e.what());
+  }
+  if (failures_ > 0) log_.Line("discovery answers again");
+  failures_ = 0;
+  revision_ = list.revision;
+  StartIn(std::max(Duration::zero(), Duration(asked_ + kLeastGap - Now())));
+  on_list_(std::move(list));
+}
+
+// The old list stands. What changed in between may be missed by a watch (an agent that started anew counts
+// from elsewhere): the next call asks for the whole list.
+void Discovery::Failed(const std::string& why) {
+  if (call_) std::exchange(call_, nullptr)->Drop();
+  revision_.reset();
+  if (failures_++ == 0) log_.Line("discovery: " + why);
+  if (on_request_) {
+    running_ = false;
+    return on_failed_();
+  }
+  const auto pause = kFirstPause * (1 << std::min(failures_ - 1, 5));
+  StartIn(std::min<Duration>(pause, kMostPause));
+}
+
+}  // namespace mothrack
--- /dev/null
+++ b/node/discovery.h
@@ -0,0 +1,69 @@
+// Follows discovery: the list and watch loop, and what a list says.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "clock.h"
+#include "config.h"
+#include "kestrellb/balancer.h"
+#include "log.h"
+#include "nlohmann/json.hpp"
+#include "upstreams.h"
+
+namespace mothrack {
+
+// One answer of discovery.
+struct MembershipList {
+  std::uint64_t revision = 0;
+  kestrellb::MembershipUpdate update;
+  std::map<std::string, Location> locations;
+};
+
+// Throws std::exception, naming what is wrong with the list.
+MembershipList ParseList(const nlohmann::json& body, const UnixClock& clock);
+
+class Discovery {
+ public:
+  using OnList = std::function<void(MembershipList)>;
+  using OnFailed = std::function<void()>;
+
+  // Where membership is told on request, each failure is reported and the next Ask() waited for; else it asks
+  // again by itself.
+  Discovery(boost::asio::io_context& io, Endpoint endpoint, bool on_request, const UnixClock& clock,
+            Logger& log, OnList on_list, OnFailed on_failed);
+  ~Discovery();
+
+  // Asks for the list now and watches it from then on. Nothing to do where that is under way.
+  void Ask();
+
+ private:
+  class Call;
+
+  void Start();
+  void StartIn(Duration wait);
+  void Answered(const std::string& body);
+  void Failed(const std::string& why);
+
+  boost::asio::io_context& io_;
+  const Endpoint endpoint_;
+  const bool on_request_;
+  const UnixClock& clock_;
+  Logger& log_;
+  const OnList on_list_;
+  const OnFailed on_failed_;
+  boost::asio::steady_timer pause_;
+  std::shared_ptr<Call> call_;
+  bool running_ = false;
+  std::optional<std::uint64_t> revision_;  // absent: the whole list is needed
+  TimePoint asked_;
+  int failures_ = 0;
+};
+
+}  // namespace mothrack
--- /dev/null
+++ b/node/listener.cpp
@@ -0,0 +1,336 @@
+#include "listener.h"
+
+#include <boost/asio/socket_base.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mothrack {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kSweep = milliseconds(250);
+constexpr auto kDrainSweep = milliseconds(10);
+// A request that has begun to come, or an answer that is not taken, holds its connection for this long.
+constexpr Duration kStalled = seconds(10);
+// After a last answer the client's close is waited for: a reset could overtake the answer.
+constexpr Duration kLinger = seconds(1);
+// Clients go on opening connections for a moment after a planned stop began.
+constexpr Duration kAcceptWhileDraining = milliseconds(800);
+// A connection opened in that time is about to carry a request.
+constexpr Duration kFreshConnection = milliseconds(300);
+constexpr Duration kAcceptPause = milliseconds(20);
+
+HttpResponse Plain(http::status status, const std::string& text) {
+  HttpResponse response(status, 11);
+  response.set(http::field::content_type, "text/plain");
+  response.body() = text + "\n";
+  return response;
+}
+
+}  // namespace
+
+// One client connection. A read is always pending while there is room, also while a request is being served:
+// that is how a client that leaves is noticed.
+class Listener::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Listener& owner, tcp::socket socket)
+      : owner_(&owner), slot_(std::in_place, owner.descriptors_), socket_(std::move(socket)) {
+    buffer_.max_size(kMostRead);
+    NewParser();
+  }
+
+  void Start() { Read(); }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+    slot_.reset();
+    if (owner_ != nullptr) owner_->connections_.erase(shared_from_this());
+    if (const auto gone = std::exchange(gone_, nullptr)) gone();
+  }
+
+  // The listener is going: handlers that are still to come must not touch it.
+  void Drop() {
+    owner_ = nullptr;
+    gone_ = nullptr;
+    Close();
+  }
+
+  bool idle() const { return state_ == State::kReading && !started_; }
+  TimePoint since() const { return since_; }
+
+  // Nothing of a further request has come, not even into the system's buffer.
+  bool SparesClose() {
+    if (!idle()) return false;
+    error_code error;
+    return socket_.available(error) == 0 || error;
+  }
+
+  bool Overdue(TimePoint now) const {
+    if (state_ == State::kLingering) return now - since_ > kLinger;
+    return (state_ == State::kWriting || (state_ == State::kReading && started_)) && now - since_ > kStalled;
+  }
+
+  bool Fresh(TimePoint now) const { return unused_ && now - since_ < kFreshConnection; }
+
+ private:
+  enum class State { kReading, kServing, kWriting, kLingering };
+
+  void NewParser() {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(kMostBody);
+    parser_->header_limit(kMostHeader);
+    started_ = false;
+    continued_ = false;
+    since_ = Now();
+  }
+
+  void Read() {
+    if (reading_ || closed_ || buffer_.size() == buffer_.max_size()) return;
+    reading_ = true;
+    const std::size_t room = std::min<std::size_t>(buffer_.max_size() - buffer_.size(), 8192);
+    socket_.async_read_some(buffer_.prepare(room),
+                            [self = shared_from_this()](error_code error, std::size_t size) {
+                              self->reading_ = false;
+                              if (self->closed_ || self->owner_ == nullptr) return;
+                              if (error) return self->Close();
+                              self->buffer_.commit(size);
+                              self->Progress();
+                            });
+  }
+
+  void Progress() {
+    if (state_ == State::kLingering) buffer_.consume(buffer_.size());
+    if (state_ == State::kReading) Parse();
+    Read();
+  }
+
+  void Parse() {
+    while (state_ == State::kReading && buffer_.size() > 0) {
+      if (!std::exchange(started_, true)) since_ = Now();
+      unused_ = false;
+      error_code error;
+      const std::size_t used = parser_->put(buffer_.data(), error);
+      buffer_.consume(used);
+      if (error == http::error::need_more) error = {};
+      if (error) {
+        close_after_ = true;
+        return Answer(error == http::error::body_limit
+                          ? Plain(http::status::payload_too_large, "body too large")
+                          : Plain(http::status::bad_request, error.message()));
+      }
+      if (parser_->is_done()) return Serve();
+      Continue();
+      if (used == 0) return;
+    }
+  }
+
+  // A client that asked whether to go on waits for this before it sends the body.
+  void Continue() {
+    if (continued_ || !parser_->is_header_done()) return;
+    continued_ = true;
+    if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) return;
+    static constexpr char kGoOn[] = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code ignored;
+    socket_.write_some(boost::asio::buffer(kGoOn, sizeof kGoOn - 1), ignored);
+  }
+
+  void Serve() {
+    HttpRequest request = parser_->release();
+    if (!request.keep_alive()) close_after_ = true;
+    version_ = request.version();
+    const auto target = request.target();
+    state_ = State::kServing;
+    if (target == "/up") {
+      const bool draining = owner_->drained_ != nullptr;
+      return Answer(draining ? Plain(http::status::service_unavailable, "draining")
+                             : Plain(http::status::ok, "up"));
+    }
+    auto reply = [self = shared_from_this()](HttpResponse response) {
+      self->gone_ = nullptr;
+      if (!self->closed_) self->Answer(std::move(response));
+    };
+    auto gone = owner_->on_request_(std::move(request), std::move(reply));
+    if (state_ == State::kServing) gone_ = std::move(gone);
+  }
+
+  void Answer(HttpResponse response) {
+    state_ = State::kWriting;
+    since_ = Now();
+    if (owner_ != nullptr && owner_->drained_) close_after_ = true;
+    response_ = std::move(response);
+    response_.version(version_);
+    response_.keep_alive(!close_after_);
+    response_.prepare_payload();
+    http::async_write(socket_, response_, [self = shared_from_this()](error_code error, std::size_t) {
+      if (self->closed_ || self->owner_ == nullptr) return;
+      if (error) return self->Close();
+      self->Answered();
+    });
+  }
+
+  void Answered() {
+    response_ = {};
+    if (close_after_) {
+      state_ = State::kLingering;
+      since_ = Now();
+      error_code ignored;
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    } else {
+      state_ = State::kReading;
+      NewParser();
+    }
+    Progress();
+  }
+
+  Listener* owner_;
+  std::optional<Descriptors::Slot> slot_;
+  tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  HttpResponse response_;
+  OnGone gone_;
+  State state_ = State::kReading;
+  TimePoint since_;  // of the state, or of a request's first byte
+  unsigned version_ = 11;
+  bool started_ = false;    // some of a request has come
+  bool unused_ = true;      // nothing has ever come
+  bool continued_ = false;  // it was looked whether the client waits for a 100
+  bool close_after_ = false;
+  bool reading_ = false;
+  bool closed_ = false;
+};
+
+Listener::Listener(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors,
+                   Logger& log, OnRequest on_request, MakeRoom make_room)
+    : io_(io),
+      descriptors_(descriptors),
+      log_(log),
+      on_request_(std::move(on_request)),
+      make_room_(std::move(make_room)),
+      acceptor_(io),
+      pause_(io),
+      sweep_(io) {
+  acceptor_.open(endpoint.protocol());
+  // A start after a kill must not wait for the former process's connections to be forgotten.
+  acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+  acceptor_.non_blocking(true);
+  Accept();
+  ScheduleSweep();
+}
+
+Listener::~Listener() {
+  for (const auto& connection : std::exchange(connections_, {})) connection->Drop();
+}
+
+void Listener::Accept() {
+  // Waits for a client before making room for it, and without a descriptor of its own.
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
+    if (error || !acceptor_.is_open()) return;
+    while (true) {
+      if (!descriptors_.RoomForClient() && !make_room_() && !EvictIdle()) return AcceptIn(kAcceptPause);
+      tcp::socket socket(io_);
+      acceptor_.accept(socket, error);
+      if (!error) {
+        Admit(std::move(socket));
+        continue;
+      }
+      if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) break;
+      // Guards against a spin where descriptors or memory ran out: the client stays in the backlog.
+      if (error == boost::asio::error::no_descriptors || error == boost::asio::error::no_memory ||
+          error == boost::asio::error::no_buffer_space || error == boost::system::errc::too_many_files_open_in_system) {
+        log_.Line("accept: " + error.message());
+        if (!make_room_()) EvictIdle();
+        return AcceptIn(kAcceptPause);
+      }
+      if (error != boost::asio::error::connection_aborted) log_.Line("accept: " + error.message());
+      if (error == boost::asio::error::bad_descriptor) return;
+    }
+    Accept();
+  });
+}
+
+void Listener::AcceptIn(Duration wait) {
+  pause_.expires_after(wait);
+  pause_.async_wait([this](error_code error) {
+    if (!error && acceptor_.is_open()) Accept();
+  });
+}
+
+void Listener::Admit(tcp::socket socket) {
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+  connections_.insert(connection);
+  connection->Start();
+}
+
+bool Listener::EvictIdle() {
+  std::shared_ptr<Connection> longest;
+  for (const auto& connection : connections_) {
+    if (!connection->SparesClose()) continue;
+    if (!longest || connection->since() < longest->since()) longest = connection;
+  }
+  if (longest) longest->Close();
+  return longest != nullptr;
+}
+
+void Listener::Drain(std::function<void()> done) {
+  if (drained_) return;
+  drained_ = std::move(done);
+  drain_started_ = Now();
+  sweep_.cancel();
+  Sweep();
+  ScheduleSweep();
+}
+
+void Listener::ScheduleSweep() {
+  sweep_.expires_after(drained_ ? kDrainSweep : kSweep);
+  sweep_.async_wait([this](error_code error) {
+    if (error) return;
+    Sweep();
+    if (drained_ && !acceptor_.is_open() && connections_.empty()) return drained_();
+    ScheduleSweep();
+  });
+}
+
+void Listener::Sweep() {
+  const TimePoint now = Now();
+  const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
+  for (const auto& connection : all) {
+    const bool spare = drained_ && !connection->Fresh(now) && connection->SparesClose();
+    if (spare || connection->Overdue(now)) connection->Close();
+  }
+  if (drained_ && acceptor_.is_open() && now - drain_started_ > kAcceptWhileDraining) CloseAcceptor();
+}
+
+// What waits in the backlog counts as taken: it is served before the socket closes.
+void Listener::CloseAcceptor() {
+  error_code error;
+  while (!error) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) Admit(std::move(socket));
+  }
+  acceptor_.close(error);
+}
+
+}  // namespace mothrack
--- /dev/null
+++ b/node/listener.h
@@ -0,0 +1,62 @@
+// The application's side: takes its connections, parses requests, passes answers, notices when it leaves.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "clock.h"
+#include "config.h"
+#include "descriptors.h"
+#include "http.h"
+#include "log.h"
+
+namespace mothrack {
+
+class Listener {
+ public:
+  using Reply = std::function<void(HttpResponse)>;
+  // What is to be done when the client leaves before its answer.
+  using OnGone = std::function<void()>;
+  // Takes one request and calls `reply` once, perhaps at once.
+  using OnRequest = std::function<OnGone(HttpRequest request, Reply reply)>;
+  using MakeRoom = std::function<bool()>;
+
+  // Binds and listens; throws boost::system::system_error. `make_room` closes a connection that can be spared.
+  Listener(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors, Logger& log,
+           OnRequest on_request, MakeRoom make_room);
+  ~Listener();
+
+  Endpoint local() const { return acceptor_.local_endpoint(); }
+
+  // A planned stop: serves what still comes for a while, tells each client to close, then calls `done`.
+  void Drain(std::function<void()> done);
+
+ private:
+  class Connection;
+
+  void Accept();
+  void AcceptIn(Duration wait);
+  void Admit(boost::asio::ip::tcp::socket socket);
+  bool EvictIdle();
+  void ScheduleSweep();
+  void Sweep();
+  void CloseAcceptor();
+
+  boost::asio::io_context& io_;
+  Descriptors& descriptors_;
+  Logger& log_;
+  const OnRequest on_request_;
+  const MakeRoom make_room_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  boost::asio::steady_timer sweep_;
+  std::set<std::shared_ptr<Connection>> connections_;
+  std::function<void()> drained_;  // set while draining
+  TimePoint drain_started_;
+};
+
+}  // namespace mothrack
--- /dev/null
+++ b/node/log.h
@@ -0,0 +1,42 @@
+// Lines for the people on call, on standard error; bounded, whatever happens.
+#pragma once
+
+#include <cstdint>
+#include <iostream>
+#include <string>
+#include <utility>
+
+#include "clock.h"
+
+namespace mothrack {
+
+class Logger {
+ public:
+  explicit Logger(std::string name) : name_(std::move(name)) {}
+
+  // Guards against a trouble that repeats filling the disk: past kBurst lines only kPerSecond go out, and the
+  // next one tells how many did not.
+  void Line(const std::string& text) {
+    const TimePoint now = Now();
+    const double passed = std::chrono::duration<double>(now - refilled_).count();
+    allowed_ = std::min(kBurst, allowed_ + passed * kPerSecond);
+    refilled_ = now;
+    if (allowed_ < 1) {
+      ++dropped_;
+      return;
+    }
+    allowed_ -= 1;
+    if (dropped_ > 0) std::cerr << name_ << ": " << std::exchange(dropped_, 0) << " lines left out\n";
+    std::cerr << name_ << ": " << text << std::endl;
+  }
+
+ private:
+  static constexpr double kBurst = 100;
+  static constexpr double kPerSecond = 5;
+  std::string name_;
+  double allowed_ = kBurst;
+  TimePoint refilled_ = Now();
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace mothrack
--- /dev/null
+++ b/node/main.cpp
@@ -0,0 +1,36 @@
+// mothrack: the sidecar's process. Start, signals and exit code.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+#include "config.h"
+#include "sidecar.h"
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    const mothrack::Config config = mothrack::LoadConfig([](const char* name) { return std::getenv(name); });
+    boost::asio::io_context io(1);
+    mothrack::Sidecar sidecar(io, config);
+    std::cerr << config.name << ": listening on " << sidecar.local() << std::endl;
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code& error, int) {
+      if (!error) sidecar.Drain([&io] { io.stop(); });
+    });
+    while (!io.stopped()) {
+      try {
+        io.run();
+      } catch (const std::exception& e) {
+        // One connection's trouble must not end the others.
+        std::cerr << config.name << ": " << e.what() << std::endl;
+      }
+    }
+    return 0;
+  } catch (const std::exception& e) {
+    std::cerr << "mothrack: " << e.what() << std::endl;
+    return 1;
+  }
+}
--- /dev/null
+++ b/node/upstreams.cpp
@@ -0,0 +1,425 @@
+#include "upstreams.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace mothrack {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using kestrellb::LoadReport;
+using kestrellb::Outcome;
+using kestrellb::UpstreamState;
+using std::chrono::milliseconds;
+
+// The upstream counts from when it wrote its answer, we from when we read it, and a request needs time to get
+// there: an idle connection is retired this share of the limit early, at least by so much.
+constexpr int kIdleShare = 10;
+constexpr Duration kIdleMargin = milliseconds(500);
+constexpr auto kSweep = milliseconds(250);
+
+Duration TrustedIdle(Duration limit) {
+  return std::max(limit / 2, limit - std::max(limit / kIdleShare, kIdleMargin));
+}
+
+std::optional<double> Number(boost::beast::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// `inflight=7,queue=2,util=0.61`, under the names of the protocol or of the settings.
+LoadReport ParseLoad(boost::beast::string_view text) {
+  LoadReport load;
+  while (!text.empty()) {
+    const auto comma = text.find(',');
+    auto field = text.substr(0, comma);
+    text = comma == boost::beast::string_view::npos ? boost::beast::string_view() : text.substr(comma + 1);
+    while (!field.empty() && field.front() == ' ') field.remove_prefix(1);
+    while (!field.empty() && (field.back() == ' ' || field.back() == '\n' || field.back() == '\r')) {
+      field.remove_suffix(1);
+    }
+    const auto equals = field.find('=');
+    if (equals == boost::beast::string_view::npos) continue;
+    const auto name = field.substr(0, equals);
+    const auto value = Number(field.substr(equals + 1));
+    if (name == "inflight" || name == "rif") load.in_flight = value;
+    if (name == "queue" || name == "q") load.queued = value;
+    if (name == "util" || name == "busy") load.utilization = value;
+    if (name == "qps" || name == "rate") load.rate = value;
+  }
+  return load;
+}
+
+Outcome Classify(const http::response_header<>& header) {
+  const unsigned status = header.result_int();
+  if (status == 200) return Outcome::kServed;
+  // Only this header proves that nothing ran: a bare 503 may come from behind the work.
+  if ((status == 503 || status == 504) && header["X-Not-Processed"] == "1") return Outcome::kFull;
+  return Outcome::kError;
+}
+
+}  // namespace
+
+// One connection and what it carries. A read is pending on it from the moment it stands, so that a close is
+// seen while it is idle. It is its own handlers' owner; Close() makes those that are under way no-ops.
+class Upstreams::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Upstreams& owner, const std::shared_ptr<Pool>& pool)
+      : owner_(owner),
+        pool_(pool),
+        slot_(std::in_place, owner.descriptors_),
+        socket_(owner.io_),
+        timer_(owner.io_) {
+    buffer_.max_size(kMostRead);
+  }
+
+  error_code OpenSocket() {
+    error_code error;
+    socket_.open(pool_.lock()->location.endpoint.protocol(), error);
+    if (!error) socket_.set_option(tcp::no_delay(true), error);
+    if (!error) socket_.non_blocking(true, error);
+    return error;
+  }
+
+  void Start(ExchangeId id, std::shared_ptr<const HttpRequest> request, Duration timeout, OnEnd on_end) {
+    id_ = id;
+    request_ = std::move(request);
+    on_end_ = std::move(on_end);
+    sent_ = Now();
+    gives_up_ = sent_ + timeout;
+    phase_ = connected_ ? Phase::kWriting : Phase::kConnecting;
+    if (connected_) {
+      ArmTimer(gives_up_);
+      return Write();
+    }
+    ArmTimer(std::min(gives_up_, sent_ + owner_.connect_timeout_));
+    const auto pool = pool_.lock();
+    socket_.async_connect(pool->location.endpoint, [self = shared_from_this()](error_code error) {
+      if (self->closed_) return;
+      if (error) return self->End(Cause::kBroken);
+      self->connected_ = true;
+      self->phase_ = Phase::kWriting;
+      self->ArmTimer(self->gives_up_);
+      self->Read();
+      self->Write();
+    });
+  }
+
+  enum class Cause { kBroken, kTimeout, kCancelled, kNotSent };
+
+  // The exchange ends without an answer, and its connection with it: late bytes must never reach another
+  // request. Whether the last byte was written is asked once no write is under way: a write that the system
+  // has taken, but whose handler has not run, counts as written, and unsafe work hangs on that.
+  void End(Cause cause) {
+    if (phase_ == Phase::kIdle || ending_) return;
+    Close();
+    if (write_pending_) {
+      ending_ = cause;
+      return;
+    }
+    Finish(cause);
+  }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    slot_.reset();
+  }
+
+  // Did the upstream close it, or say something nobody asked for? Asked before each use: the event may not
+  // have been delivered yet.
+  bool LooksAlive() {
+    if (closed_) return false;
+    char byte = 0;
+    error_code error;
+    socket_.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == boost::asio::error::would_block;
+  }
+
+  ExchangeId id() const { return id_; }
+  std::shared_ptr<Pool> pool() const { return pool_.lock(); }
+  bool unsent() const { return phase_ == Phase::kConnecting; }
+  TimePoint idle_since() const { return idle_since_; }
+
+ private:
+  enum class Phase { kIdle, kConnecting, kWriting, kWaiting };
+
+  void ArmTimer(TimePoint at) {
+    timer_.expires_at(ToSteady(at));
+    timer_.async_wait([self = shared_from_this()](error_code error) {
+      if (error || self->closed_ || self->phase_ == Phase::kIdle) return;
+      // Guards against a timer that fired just before it was set anew.
+      if (self->timer_.expiry() > std::chrono::steady_clock::now()) return;
+      self->End(Cause::kTimeout);
+    });
+  }
+
+  void Write() {
+    message_.emplace(request_->method(), request_->target(), 11);
+    message_->base() = request_->base();
+    message_->version(11);
+    // The peer learns how long it will be waited for from now on, which is what is left after connecting.
+    const auto left = std::chrono::duration_cast<milliseconds>(gives_up_ - Now()).count();
+    message_->set("X-Timeout-Ms", std::to_string(std::max<std::int64_t>(left, 1)));
+    message_->body() = {request_->body().data(), request_->body().size()};
+    message_->prepare_payload();
+    serializer_.emplace(*message_);
+    write_pending_ = true;
+    http::async_write(socket_, *serializer_, [self = shared_from_this()](error_code error, std::size_t) {
+      self->write_pending_ = false;
+      if (self->ending_) return self->Finish(*self->ending_);
+      if (self->closed_) return;
+      if (error) return self->End(Cause::kBroken);
+      self->phase_ = Phase::kWaiting;
+    });
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMostBody);
+    parser_->header_limit(kMostHeader);
+    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
+      if (!self->closed_) self->OnRead(error);
+    });
+  }
+
+  void OnRead(error_code error) {
+    if (phase_ == Phase::kIdle) {  // closed by the upstream, or bytes that nobody asked for
+      const auto self = shared_from_this();
+      owner_.Forget(*this);
+      return Close();
+    }
+    if (error) return End(Cause::kBroken);
+    if (parser_->get().result_int() / 100 == 1) return Read();  // an interim answer
+    HttpResponse response = parser_->release();
+    ExchangeResult result{Classify(response), Now() - sent_, ParseLoad(response["X-Server-Load"]), {}};
+    // An answer before the request was written out leaves the connection between messages.
+    const bool keep = response.keep_alive() && !write_pending_ && buffer_.size() == 0;
+    result.response = std::move(response);
+    timer_.cancel();
+    phase_ = Phase::kIdle;
+    const auto on_end = std::exchange(on_end_, nullptr);
+    const auto self = shared_from_this();
+    owner_.exchanges_.erase(id_);
+    if (keep) {
+      idle_since_ = Now();
+      request_.reset();
+      Read();
+      owner_.Release(self);
+    } else {
+      Close();
+    }
+    on_end(std::move(result));
+  }
+
+  void Finish(Cause cause) {
+    const bool written = serializer_ && serializer_->is_done();
+    Outcome outcome = Outcome::kNotSent;
+    if (cause == Cause::kBroken) outcome = written ? Outcome::kReset : Outcome::kConnectFailed;
+    if (cause == Cause::kTimeout) outcome = written ? Outcome::kTimeout : Outcome::kConnectFailed;
+    if (cause == Cause::kCancelled) outcome = Outcome::kCancelled;
+    phase_ = Phase::kIdle;
+    const auto on_end = std::exchange(on_end_, nullptr);
+    const auto self = shared_from_this();
+    owner_.exchanges_.erase(id_);
+    on_end({outcome, Now() - sent_, {}, {}});
+  }
+
+  Upstreams& owner_;
+  std::weak_ptr<Pool> pool_;
+  std::optional<Descriptors::Slot> slot_;
+  tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::request<http::span_body<const char>>> message_;
+  std::optional<http::request_serializer<http::span_body<const char>>> serializer_;
+  Phase phase_ = Phase::kIdle;
+  bool connected_ = false;
+  bool closed_ = false;
+  bool write_pending_ = false;
+  std::optional<Cause> ending_;
+  ExchangeId id_{};
+  std::shared_ptr<const HttpRequest> request_;
+  OnEnd on_end_;
+  TimePoint sent_;
+  TimePoint gives_up_;
+  TimePoint idle_since_;
+};
+
+Upstreams::Upstreams(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
+                     Descriptors& descriptors)
+    : io_(io),
+      connect_timeout_(limits.connect_timeout),
+      trusted_idle_(TrustedIdle(limits.idle_close)),
+      probe_target_(load_by_probe ? "/metrics/load" : "/alive"),
+      descriptors_(descriptors),
+      sweep_(io) {
+  ScheduleSweep();
+}
+
+Upstreams::~Upstreams() {
+  for (const auto& [id, connection] : exchanges_) connection->Close();
+  for (const auto& [uid, pool] : pools_) {
+    for (const auto& connection : pool->idle) connection->Close();
+  }
+}
+
+void Upstreams::Apply(const std::string& uid, const Location& location) {
+  auto& pool = pools_[uid];
+  if (!pool) pool = std::make_shared<Pool>();
+  const Location before = std::exchange(pool->location, location);
+  const bool moved = before.endpoint != location.endpoint || before.boot_ms != location.boot_ms;
+  if (location.state == UpstreamState::kServing && !moved) return;
+  // Guards a drain against what was asked for before it was told: nothing queued or connecting goes there.
+  const auto old = pool;
+  if (moved) {
+    // What is still out there belongs to the former process or place and is not pooled again.
+    pool = std::make_shared<Pool>();
+    pool->location = location;
+    old->location.state = UpstreamState::kGone;
+  }
+  if (location.state == UpstreamState::kGone) pools_.erase(uid);
+  for (const auto& connection : std::exchange(old->idle, {})) connection->Close();
+  AbortUnsent(old);
+}
+
+std::vector<std::string> Upstreams::Known() const {
+  std::vector<std::string> known;
+  for (const auto& [uid, pool] : pools_) known.push_back(uid);
+  return known;
+}
+
+void Upstreams::AbortUnsent(const std::shared_ptr<Pool>& pool) {
+  std::vector<std::shared_ptr<Connection>> unsent;
+  for (const auto& [id, connection] : exchanges_) {
+    if (connection->unsent() && connection->pool() == pool) unsent.push_back(connection);
+  }
+  for (const auto& connection : unsent) connection->End(Connection::Cause::kNotSent);
+}
+
+void Upstreams::Send(ExchangeId id, const std::string& uid, std::shared_ptr<const HttpRequest> request,
+                     Duration timeout, OnEnd on_end) {
+  const auto it = pools_.find(uid);
+  std::shared_ptr<Connection> connection;
+  if (it != pools_.end() && it->second->location.state == UpstreamState::kServing) {
+    connection = TakeIdle(*it->second);
+    if (!connection) connection = Open(it->second);
+  }
+  if (!connection) return on_end({Outcome::kNotSent, Duration::zero(), {}, {}});
+  exchanges_.emplace(id, connection);
+  connection->Start(id, std::move(request), timeout, std::move(on_end));
+}
+
+void Upstreams::Probe(ExchangeId id, const std::string& uid, OnEnd on_end) {
+  const auto request = std::make_shared<HttpRequest>(http::verb::get, probe_target_, 11);
+  request->set(http::field::host, uid);
+  Send(id, uid, request, connect_timeout_,
+       [by_body = probe_target_ != "/alive", on_end = std::move(on_end)](ExchangeResult result) {
+         if (by_body && result.outcome == Outcome::kServed) result.load = ParseLoad(result.response.body());
+         on_end(std::move(result));
+       });
+}
+
+void Upstreams::Cancel(ExchangeId id) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end()) return;
+  const auto connection = it->second;
+  connection->End(Connection::Cause::kCancelled);
+}
+
+void Upstreams::CloseIdle(const std::string& uid) {
+  const auto it = pools_.find(uid);
+  if (it == pools_.end()) return;
+  for (const auto& connection : std::exchange(it->second->idle, {})) connection->Close();
+}
+
+bool Upstreams::EvictIdle() {
+  Pool* longest = nullptr;
+  for (const auto& [uid, pool] : pools_) {
+    if (pool->idle.empty()) continue;
+    if (longest == nullptr || pool->idle.front()->idle_since() < longest->idle.front()->idle_since()) {
+      longest = pool.get();
+    }
+  }
+  if (longest == nullptr) return false;
+  longest->idle.front()->Close();
+  longest->idle.erase(longest->idle.begin());
+  return true;
+}
+
+std::shared_ptr<Upstreams::Connection> Upstreams::TakeIdle(Pool& pool) {
+  while (!pool.idle.empty()) {
+    auto connection = std::move(pool.idle.back());
+    pool.idle.pop_back();
+    if (connection->LooksAlive() && Now() - connection->idle_since() < trusted_idle_) return connection;
+    connection->Close();
+  }
+  return nullptr;
+}
+
+// Idle connections make room; where there is none, the attempt is not sent. That is no failure of the
+// upstream and proves that nothing ran.
+std::shared_ptr<Upstreams::Connection> Upstreams::Open(const std::shared_ptr<Pool>& pool) {
+  while (!descriptors_.RoomForUpstream()) {
+    if (!EvictIdle()) return nullptr;
+  }
+  do {
+    auto connection = std::make_shared<Connection>(*this, pool);
+    if (!connection->OpenSocket()) return connection;
+    connection->Close();
+  } while (EvictIdle());
+  return nullptr;
+}
+
+void Upstreams::Release(const std::shared_ptr<Connection>& connection) {
+  const auto pool = connection->pool();
+  if (!pool || pool->location.state != UpstreamState::kServing) return connection->Close();
+  pool->idle.push_back(connection);
+}
+
+void Upstreams::Forget(const Connection& connection) {
+  if (const auto pool = connection.pool()) {
+    std::erase_if(pool->idle, [&](const auto& other) { return other.get() == &connection; });
+  }
+}
+
+void Upstreams::ScheduleSweep() {
+  sweep_.expires_after(kSweep);
+  sweep_.async_wait([this](error_code error) {
+    if (error) return;
+    Sweep();
+    ScheduleSweep();
+  });
+}
+
+// Retires what has been idle nearly as long as the upstream allows: a request written to a connection that is
+// being closed over there ends as a reset, and an unsafe one could not be sent again.
+void Upstreams::Sweep() {
+  const TimePoint now = Now();
+  for (const auto& [uid, pool] : pools_) {
+    std::erase_if(pool->idle, [&](const auto& connection) {
+      if (now - connection->idle_since() < trusted_idle_) return false;
+      connection->Close();
+      return true;
+    });
+  }
+}
+
+}  // namespace mothrack
