Break before the last byte is tested; shorter linger; HEAD turned away

- The row 'breaks before the last byte is written' had no test: a loopback connection takes 64 KiB unread (probed).
With small segments and a small receive buffer it does not, and the attempt ends as could not connect.
- After a last answer a connection lingers 250 ms, not 1 s: a planned stop waits for it, and answers may be due until shortly before the kill.
- HEAD and CONNECT get 400: HEAD would have waited for a body until its time-out.
- Discovery on request may take 5 s for an answer, an agent beside us 1 s.

--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -25,8 +25,10 @@
 
 // A watch asks to be answered by then. What an agent that went silent has to say is missed for no longer.
 constexpr auto kWatch = milliseconds(5000);
-// How long a call may take beyond what it asked to wait for.
-constexpr auto kPatience = milliseconds(1000);
+// How long a call may take beyond what it asked to wait for: an agent on this machine answers at once; one
+// service for all works through the calls in turn, and giving up on it early would only add to its work.
+constexpr auto kAgentPatience = milliseconds(1000);
+constexpr auto kServicePatience = milliseconds(5000);
 // The next watch follows an answer well within the 200 ms after which it would be a new one; not sooner than
 // this after the last was sent, so that an agent that answers at once is not asked in a spin.
 constexpr auto kLeastGap = milliseconds(50);
@@ -175,10 +177,11 @@
   asked_ = Now();
   if (call_ && !call_->reusable()) std::exchange(call_, nullptr)->Drop();
   if (!call_) call_ = std::make_shared<Call>(*this);
-  if (!revision_) return call_->Start("/discovery/hosts", kPatience);
+  const Duration patience = on_request_ ? kServicePatience : kAgentPatience;
+  if (!revision_) return call_->Start("/discovery/hosts", patience);
   call_->Start(
       "/discovery/hosts?index=" + std::to_string(*revision_) + "&wait=" + std::to_string(kWatch.count()),
-      kWatch + kPatience);
+      kWatch + patience);
 }
 
 void Discovery::Answered(const std::string& body) {
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -24,8 +24,9 @@
 constexpr auto kDrainSweep = milliseconds(10);
 // A request that has begun to come, or an answer that is not taken, holds its connection for this long.
 constexpr Duration kStalled = seconds(10);
-// After a last answer the client's close is waited for: a reset could overtake the answer.
-constexpr Duration kLinger = seconds(1);
+// After a last answer the client's close is waited for: a reset could overtake the answer. Short, as a
+// planned stop waits for it too.
+constexpr Duration kLinger = milliseconds(250);
 // Clients go on opening connections for a moment after a planned stop began.
 constexpr Duration kAcceptWhileDraining = milliseconds(800);
 // A connection opened in that time is about to carry a request.
@@ -155,7 +156,7 @@
 
   void Serve() {
     HttpRequest request = parser_->release();
-    if (!request.keep_alive()) close_after_ = true;
+    if (!request.keep_alive() || request.method() == http::verb::head) close_after_ = true;
     version_ = request.version();
     const auto target = request.target();
     state_ = State::kServing;
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -160,6 +160,10 @@
     reply(Plain(http::status::bad_request, why));
     return nullptr;
   };
+  // What their answers look like on the wire is no plain answer with a body.
+  if (request.method() == http::verb::head || request.method() == http::verb::connect) {
+    return bad("method not supported");
+  }
   const auto cls = classes_.find(std::string(FirstPart(request.target())));
   if (cls == classes_.end()) return bad("unknown class");
   const auto wire_id = Single(request, "X-Request-ID");
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -142,6 +142,36 @@
   EXPECT_EQ(UnsafeStatus(hole.address(), 10000), 503U);
 }
 
+// How much of a message a connection takes whose narrow other end never reads.
+std::size_t TakenUnread() {
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, tcp::v4());
+  MakeNarrow(acceptor);
+  acceptor.bind({boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+  acceptor.listen();
+  tcp::socket socket(io);
+  socket.connect(acceptor.local_endpoint());
+  socket.non_blocking(true);
+  boost::system::error_code error;
+  const std::string bytes(65536, 'x');
+  std::size_t taken = 0;
+  while (!error && taken < bytes.size()) taken += socket.write_some(boost::asio::buffer(bytes), error);
+  return taken;
+}
+
+TEST(Outcome, BreakBeforeTheLastByteProvesThatNothingRan) {
+  if (TakenUnread() >= 65536) GTEST_SKIP() << "this system takes a whole message that nobody reads";
+  Peer peer(
+      [](Wire& wire, int) {
+        char byte = 0;
+        boost::system::error_code error;
+        wire.socket.read_some(boost::asio::buffer(&byte, 1), error);
+        wire.Reset();
+      },
+      true);
+  EXPECT_EQ(UnsafeStatus(peer.address(), 5000, 65536), 503U);
+}
+
 TEST(Outcome, ResetAfterTheRequestMayHaveRun) {
   Upstream upstream([](Wire& wire, const Request&, int) { wire.Reset(); });
   EXPECT_EQ(UnsafeStatus(upstream.address(), 5000), 502U);
@@ -303,6 +333,7 @@
   };
   const std::vector<std::pair<std::string, unsigned>> cases = {
       {"what is this\r\n\r\n", 400},
+      {"HEAD /page/k HTTP/1.1\r\n" + id + time + "\r\n", 400},
       {"GET /page/k HTTP/1.1\r\nno colon here\r\n\r\n", 400},
       {get("/unknown/k", id + time), 400},
       {get("/", id + time), 400},
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -1,6 +1,7 @@
 #include "peers.h"
 
 #include <fcntl.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -80,8 +81,17 @@
   socket.close(ignored);
 }
 
-Peer::Peer(Script script, std::uint16_t port)
-    : acceptor_(io_, Loopback(port)), script_(std::move(script)), port_(acceptor_.local_endpoint().port()) {
+void MakeNarrow(tcp::acceptor& acceptor) {
+  const int segment = 536;
+  ::setsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+  acceptor.set_option(boost::asio::socket_base::receive_buffer_size(1024));
+}
+
+Peer::Peer(Script script, bool narrow) : acceptor_(io_, tcp::v4()), script_(std::move(script)) {
+  if (narrow) MakeNarrow(acceptor_);
+  acceptor_.bind(Loopback(0));
+  acceptor_.listen();
+  port_ = acceptor_.local_endpoint().port();
   accepting_ = std::thread([this] {
     while (!stopping_) {
       pollfd ready{acceptor_.native_handle(), POLLIN, 0};
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -49,11 +49,14 @@
   boost::beast::flat_buffer buffer_;
 };
 
+// Makes the system take little of a message that the other end does not read: small segments and buffer.
+void MakeNarrow(tcp::acceptor& acceptor);
+
 // Listens on a free port and plays a script for each connection, each in a thread of its own.
 class Peer {
  public:
   using Script = std::function<void(Wire&, int number)>;
-  explicit Peer(Script script, std::uint16_t port = 0);
+  explicit Peer(Script script, bool narrow = false);
   ~Peer();
   std::uint16_t port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
@@ -63,7 +66,7 @@
   boost::asio::io_context io_;
   tcp::acceptor acceptor_;
   Script script_;
-  std::uint16_t port_;
+  std::uint16_t port_ = 0;
   std::atomic<int> connections_{0};
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
