SIGHUP reads the configuration again and follows the new discovery

Cause: no handler for SIGHUP, so the process ended (exit 129, main.cpp); the file's `discovery` was never read (config.cpp), and Discovery had one address for good. Now: the file is read again with the same checks; a fault is logged and the old configuration stays. Discovery changes over at once: the open call is dropped, no version and no pause of the old address is kept, and a planned call that is outrun by the change is void (turn_). The list stands until the new one comes. The file counts before LB_DISCOVERY, after a restart too: a file can be replaced under a process, its environment can't. Tested repeated, in a drain, with a watch open, to a broken address and back, and with faulty files; the tests fail without the handler.

--- a/node/config.cpp
+++ b/node/config.cpp
@@ -23,13 +23,16 @@
   return value;
 }
 
-Endpoint AddressVariable(const std::function<const char*(const char*)>& variable, const char* name) {
-  const auto text = Variable(variable, name);
+Endpoint Address(const std::string& name, const std::string& text) {
   const auto endpoint = ParseEndpoint(text);
-  if (!endpoint) throw ConfigError(std::string(name) + " is no address and port: " + text);
+  if (!endpoint) throw ConfigError(name + " is no address and port: " + text);
   return *endpoint;
 }
 
+Endpoint AddressVariable(const std::function<const char*(const char*)>& variable, const char* name) {
+  return Address(name, Variable(variable, name));
+}
+
 const json& Field(const json& object, const std::string& path, const char* name) {
   const auto it = object.find(name);
   if (it == object.end()) throw ConfigError("LB_CONFIG: " + path + name + " is missing");
@@ -104,6 +107,11 @@
   config.seed = Seed(file);
   config.sockets = Sockets(file);
   config.settings = ReadSettings(file);
+  // The file can be replaced while the process runs, its environment can't: what the file says is newer.
+  if (const auto discovery = file.find("discovery"); discovery != file.end()) {
+    if (!discovery->is_string()) throw ConfigError("LB_CONFIG: discovery is no text");
+    config.discovery = Address("LB_CONFIG: discovery", discovery->get<std::string>());
+  }
   if (const auto known = file.find("known"); known != file.end()) config.known = *known;
   return config;
 }
--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -166,14 +166,25 @@
   Start();
 }
 
+void Discovery::MoveTo(Endpoint endpoint) {
+  if (call_) std::exchange(call_, nullptr)->Drop();
+  pause_.cancel();
+  endpoint_ = std::move(endpoint);
+  revision_.reset();  // versions are of the one that counted them
+  failures_ = 0;
+  running_ = true;
+  Start();
+}
+
 void Discovery::StartIn(Duration wait) {
   pause_.expires_after(wait);
-  pause_.async_wait([this](error_code error) {
-    if (!error) Start();
+  pause_.async_wait([this, turn = ++turn_](error_code error) {
+    if (!error && turn == turn_) Start();
   });
 }
 
 void Discovery::Start() {
+  ++turn_;
   asked_ = Now();
   if (call_ && !call_->reusable()) std::exchange(call_, nullptr)->Drop();
   if (!call_) call_ = std::make_shared<Call>(*this);
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -42,6 +42,8 @@
 
   // Asks for the list now and watches it from then on. Nothing to do where that is under way.
   void Ask();
+  // Changes over to another address at once: asks there for the whole list. The old list stands until then.
+  void MoveTo(Endpoint endpoint);
 
  private:
   class Call;
@@ -52,7 +54,7 @@
   void Failed(const std::string& why);
 
   boost::asio::io_context& io_;
-  const Endpoint endpoint_;
+  Endpoint endpoint_;
   const bool on_request_;
   const UnixClock& clock_;
   Logger& log_;
@@ -61,6 +63,7 @@
   boost::asio::steady_timer pause_;
   std::shared_ptr<Call> call_;
   bool running_ = false;
+  std::uint64_t turn_ = 0;                 // counts the calls, begun or planned: an older plan is void
   std::optional<std::uint64_t> revision_;  // absent: the whole list is needed
   TimePoint asked_;
   int failures_ = 0;
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -6,16 +6,40 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <string>
 
 #include "config.h"
 #include "sidecar.h"
 
+namespace {
+
+mothrack::Config LoadConfig() {
+  return mothrack::LoadConfig([](const char* name) { return std::getenv(name); });
+}
+
+// SIGHUP: a configuration with a fault is logged, and the old one stays.
+void ReloadOnSignal(boost::asio::signal_set& signals, mothrack::Sidecar& sidecar) {
+  signals.async_wait([&](const boost::system::error_code& error, int) {
+    if (error) return;
+    ReloadOnSignal(signals, sidecar);
+    try {
+      sidecar.Reconfigure(LoadConfig());
+    } catch (const mothrack::ConfigError& e) {
+      sidecar.log().Line(std::string("configuration not taken: ") + e.what());
+    }
+  });
+}
+
+}  // namespace
+
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    const mothrack::Config config = mothrack::LoadConfig([](const char* name) { return std::getenv(name); });
     boost::asio::io_context io(1);
+    boost::asio::signal_set reload(io, SIGHUP);
+    const mothrack::Config config = LoadConfig();
     mothrack::Sidecar sidecar(io, config);
+    ReloadOnSignal(reload, sidecar);
     std::cerr << config.name << ": listening on " << sidecar.local() << std::endl;
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& error, int) {
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -117,6 +117,12 @@
   if (!settings_.membership_on_request) discovery_.Ask();
 }
 
+void Sidecar::Reconfigure(const Config& config) {
+  Known(config.known, unix_clock_);  // checked like the rest, though the list from discovery is newer
+  log_.Line("configuration read again");
+  discovery_.MoveTo(config.discovery);
+}
+
 // handle() is never re-entered: an action that ends something at once queues its event here.
 void Sidecar::Deliver(kestrellb::Event event) {
   events_.push_back(std::move(event));
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -35,6 +35,10 @@
   Endpoint local() const { return listener_.local(); }
   // A planned stop; `done` is called when all that was taken is answered.
   void Drain(std::function<void()> done) { listener_.Drain(std::move(done)); }
+  // The configuration was replaced: follows its `discovery`. The rest counts from the next start on.
+  // Throws ConfigError, and changes nothing then.
+  void Reconfigure(const Config& config);
+  Logger& log() { return log_; }
 
  private:
   struct Pending {
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -258,14 +258,14 @@
   static std::atomic<int> count{0};
   config_path_ = std::filesystem::temp_directory_path() /
                  ("mothrack-test-" + std::to_string(::getpid()) + "-" + std::to_string(count++) + ".json");
-  json config = {{"name", "t1"},
-                 {"listen", options.listen},
-                 {"discovery", options.discovery},
-                 {"seed", "8c1f30d27a5be964"},
-                 {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", options.sockets}}},
-                 {"settings", options.settings}};
-  if (!options.known.is_null()) config["known"] = {{"rev", 0}, {"all", true}, {"targets", options.known}};
-  std::ofstream(config_path_) << (options.config_text.empty() ? config.dump() : options.config_text);
+  config_ = {{"name", "t1"},
+             {"listen", options.listen},
+             {"discovery", options.discovery},
+             {"seed", "8c1f30d27a5be964"},
+             {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", options.sockets}}},
+             {"settings", options.settings}};
+  if (!options.known.is_null()) config_["known"] = {{"rev", 0}, {"all", true}, {"targets", options.known}};
+  std::ofstream(config_path_) << (options.config_text.empty() ? config_.dump() : options.config_text);
 
   int ends[2];
   if (::pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("pipe");
@@ -314,6 +314,12 @@
 
 void Node::Signal(int number) { ::kill(pid_, number); }
 
+void Node::Reload(const std::string& config_text) {
+  std::ofstream(config_path_ + ".new") << config_text;
+  std::filesystem::rename(config_path_ + ".new", config_path_);
+  Signal(SIGHUP);
+}
+
 int Node::Wait() {
   if (!status_) {
     int status = 0;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -170,6 +170,8 @@
   bool Listening();  // waits until it is
   std::uint16_t port() const { return port_; }
   void Signal(int number);
+  void Reload(const std::string& config_text);  // replaces the file and tells it
+  json config() const { return config_; }
   int Wait();  // its exit code; 128 and the signal where it was killed
   pid_t pid() const { return pid_; }
   std::string log() const;
@@ -179,6 +181,7 @@
   pid_t pid_ = -1;
   std::optional<int> status_;
   std::uint16_t port_ = 0;
+  json config_;
   std::string config_path_;
   mutable std::mutex mutex_;
   std::string log_;
