--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -157,31 +157,29 @@
         ask_again_at_ = now_ + Scaled(settings_.rules.ask_within, 0.1 + 0.1 * Uniform());
       return;
     }
-    std::vector<bool> listed(upstreams_.size(), false);
-    std::vector<std::size_t> entering;
-    for (const UpstreamInfo& info : update.upstreams) {
-      const std::size_t i = Adopt(info, entering);
-      if (i < listed.size()) listed[i] = true;
-    }
+    // What a whole list leaves out is gone.
+    for (const UpstreamPtr& u : order_) u->listed = update.kind == MembershipUpdate::Kind::kChanges;
+    std::vector<UpstreamPtr> entering;
+    for (const UpstreamInfo& info : update.upstreams) Adopt(info, entering);
+    Order();
     // With the whole list known: a turn drawn from the sum so far would put the first ones of the list first
     // at every sidecar, and a fleet of them would send their first calls to the same few.
-    for (const std::size_t i : entering) Enter(upstreams_[i]);
-    for (std::size_t i = 0; i < listed.size() && update.kind != MembershipUpdate::Kind::kChanges; ++i) {
-      if (!listed[i]) upstreams_[i].info.state = UpstreamState::kGone;
-    }
-    Order();
+    for (const UpstreamPtr& u : entering) Enter(*u);
   }
 
   // The order in which this sidecar takes upstreams into its subset: rendezvous hashing of its number and the
   // upstream's id, so that the sidecars' subsets spread evenly over the list, cells and zones, and a change
-  // of the list changes nobody else's place.
+  // of the list changes nobody else's place. Those that are gone are dropped: ids are ever new.
   void Order() {
+    std::erase_if(index_, [](const auto& entry) {
+      UpstreamState& state = entry.second->info.state;
+      if (!entry.second->listed) state = UpstreamState::kGone;
+      return state == UpstreamState::kGone;
+    });
     order_.clear();
-    for (std::size_t i = 0; i < upstreams_.size(); ++i) {
-      if (upstreams_[i].info.state != UpstreamState::kGone) order_.push_back(i);
-    }
-    std::sort(order_.begin(), order_.end(), [this](std::size_t a, std::size_t b) {
-      return std::tie(upstreams_[a].rank, a) < std::tie(upstreams_[b].rank, b);
+    for (const auto& [id, u] : index_) order_.push_back(u);
+    std::sort(order_.begin(), order_.end(), [](const UpstreamPtr& a, const UpstreamPtr& b) {
+      return std::tie(a->rank, a->info.id) < std::tie(b->rank, b->info.id);
     });
   }
 
@@ -193,36 +191,28 @@
     return std::max(kLeastSubset, usual_rate_ * kVisit * Seconds(settings_.limits.idle_close));
   }
 
-  std::size_t Adopt(const UpstreamInfo& info, std::vector<std::size_t>& entering) {
-    const auto [it, is_new] = index_.try_emplace(info.id.value, upstreams_.size());
-    if (is_new) upstreams_.emplace_back().rank = Hash(info.id.value, settings_.self);
-    Upstream& u = upstreams_[it->second];
-    const bool was_serving = !is_new && u.info.state == UpstreamState::kServing;
+  void Adopt(const UpstreamInfo& info, std::vector<UpstreamPtr>& entering) {
+    UpstreamPtr& u = index_[info.id.value];
+    const bool was_serving = u && u->info.state == UpstreamState::kServing;
     // A new start time is a new process: the failures and the ejection belong to the one that died.
-    const bool new_process = is_new || (info.started && info.started != u.info.started);
-    u.info = info;
-    if (!(u.info.weight > 0)) u.info.weight = 1;
+    const bool new_process = !u || (info.started && info.started != u->info.started);
     if (new_process) {
-      ++u.process;
-      u.failure_run = 0;
-      u.ejected = false;
-      u.ejected_at.reset();
-      u.on_trial = false;
-      u.calls = u.failures = 0;
-      u.slowness = Mean{};
-      u.full_until = now_;
-      u.outstanding = u.idle = 0;
-      u.cold_budget = -Uniform();  // sidecars that hear of it together must not all call it at once
-      u.cold_refilled = now_;
+      if (u) u->info.state = UpstreamState::kGone;
+      u = std::make_shared<Upstream>();
+      u->rank = Hash(info.id.value, settings_.self);
+      u->cold_budget = -Uniform();  // sidecars that hear of it together must not all call it at once
+      u->cold_refilled = now_;
     }
-    if (new_process || !was_serving) entering.push_back(it->second);
-    return it->second;
+    u->info = info;
+    u->listed = true;
+    if (!(u->info.weight > 0)) u->info.weight = 1;
+    if (new_process || !was_serving) entering.push_back(u);
   }
 
   // ---- Ejection ----
 
   void Judge(Upstream& u, const Attempt& attempt, Outcome outcome) {
-    if (attempt.process != u.process) return;
+    if (u.info.state == UpstreamState::kGone) return;  // nothing more is decided about it
     const bool served = outcome == Outcome::kServed;
     if (attempt.trial) JudgeTrial(u, outcome);
     if (outcome != Outcome::kConnectFailed && outcome != Outcome::kTimeout &&
@@ -237,10 +227,10 @@
     u.failure_run = served ? 0 : u.failure_run + 1;
     if (!u.ejected && u.failure_run >= LongRun(u, kFailuresToEject)) Eject(u);
     all_calls_ = all_failures_ = 0;
-    for (const Upstream& other : upstreams_) {
-      if (other.ejected || other.info.state != UpstreamState::kServing) continue;
-      all_calls_ += other.calls;
-      all_failures_ += other.failures;
+    for (const UpstreamPtr& other : order_) {
+      if (other->ejected || other->info.state != UpstreamState::kServing) continue;
+      all_calls_ += other->calls;
+      all_failures_ += other->failures;
     }
   }
 
@@ -312,8 +302,8 @@
 
   double ListedWeight() const {
     double sum = 0;
-    for (const Upstream& u : upstreams_) {
-      if (u.info.state == UpstreamState::kServing) sum += u.info.weight;
+    for (const UpstreamPtr& u : order_) {
+      if (u->info.state == UpstreamState::kServing) sum += u->info.weight;
     }
     return sum;
   }
@@ -392,55 +382,53 @@
   // The next upstream for this request by smooth weighted rotation over the subset: one not yet tried while
   // any such stands, and of those one in good standing; then the crowded ones, then the suspects. None that
   // just said it is full. Members that are out, suspect or tried are made up for by the next ones in order.
-  std::optional<std::size_t> Pick(const Request& r, bool only_good = false) {
+  UpstreamPtr Pick(const Request& r, bool only_good = false) {
     double weight = 0;
     int outstanding = 1;
-    std::vector<std::size_t> takers;
+    std::vector<UpstreamPtr> takers;
     double room = SubsetSize();
-    for (const std::size_t i : order_) {
-      Upstream& u = upstreams_[i];
+    for (const UpstreamPtr& taker : order_) {
+      Upstream& u = *taker;
       if (room <= 0) break;
-      if (!MayTake(u) || now_ < u.full_until || !MaySend(r, i)) continue;
-      takers.push_back(i);
+      if (!MayTake(u) || now_ < u.full_until || !MaySend(r, u)) continue;
+      takers.push_back(taker);
       if (Suspect(u)) continue;
-      if (!Tried(r, i)) room -= Warmth(u);  // the cold ones are no help yet
+      if (!Tried(r, u)) room -= Warmth(u);  // the cold ones are no help yet
       weight += Weight(u);
       outstanding += u.outstanding;
     }
-    std::vector<std::size_t> best;
+    std::vector<UpstreamPtr> best;
     int best_standing = only_good ? 1 : 6;
-    for (const std::size_t i : takers) {
-      const Upstream& u = upstreams_[i];
+    for (const UpstreamPtr& taker : takers) {
+      const Upstream& u = *taker;
       // Where connecting takes long or fails, one without a connection is no better than a crowded one.
       const bool crowded = u.outstanding + 1 > kCrowdSlack + 0.5 + outstanding * Weight(u) / weight ||
                            (connecting_.value > kHardToConnect && !HasConnection(u));
-      const int standing = (Tried(r, i) ? 3 : 0) + (Suspect(u) ? 2 : crowded ? 1 : 0);
+      const int standing = (Tried(r, u) ? 3 : 0) + (Suspect(u) ? 2 : crowded ? 1 : 0);
       if (standing < best_standing) best.clear();
       if (standing > best_standing) continue;
       best_standing = standing;
-      best.push_back(i);
+      best.push_back(taker);
     }
-    if (best.empty()) return std::nullopt;
-    return Rotate(best);
+    return best.empty() ? nullptr : Rotate(best);
   }
 
-  std::size_t Rotate(const std::vector<std::size_t>& candidates) {
+  UpstreamPtr Rotate(const std::vector<UpstreamPtr>& candidates) {
     double sum = 0;
-    std::size_t best = candidates.front();
-    for (const std::size_t i : candidates) sum += Weight(upstreams_[i]);
-    for (const std::size_t i : candidates) {
-      Upstream& u = upstreams_[i];
+    UpstreamPtr best = candidates.front();
+    for (const UpstreamPtr& u : candidates) sum += Weight(*u);
+    for (const UpstreamPtr& u : candidates) {
       // One that was not among the candidates for long comes from a turn of another length.
-      u.credit = std::clamp(u.credit, -sum, sum) + Weight(u);
-      if (u.credit > upstreams_[best].credit) best = i;
+      u->credit = std::clamp(u->credit, -sum, sum) + Weight(*u);
+      if (u->credit > best->credit) best = u;
     }
-    upstreams_[best].credit -= sum;
+    best->credit -= sum;
     return best;
   }
 
   // Sent to for this request, or asked for its load.
-  static bool Tried(const Request& r, std::size_t upstream) {
-    const auto same = [upstream](const auto& a) { return a.upstream == upstream; };
+  static bool Tried(const Request& r, const Upstream& u) {
+    const auto same = [&u](const auto& a) { return a.upstream.get() == &u; };
     return std::any_of(r.attempts.begin(), r.attempts.end(), same) ||
            std::any_of(r.asked.begin(), r.asked.end(), same);
   }
@@ -448,7 +436,7 @@
   // ---- Attempts ----
 
   // May this be sent again (or for the first time), to this upstream? The one gate to every attempt.
-  bool MaySend(const Request& r, std::size_t upstream) const {
+  bool MaySend(const Request& r, const Upstream& upstream) const {
     if (r.ended || r.streaming || now_ >= r.deadline) return false;
     if (r.attempts.size() >= settings_.limits.max_attempts) return false;
     for (const Attempt& a : r.attempts) {
@@ -459,8 +447,8 @@
       // Repeats are dropped only among the upstreams that know the key, and only while they remember it. Half
       // the window is left for the way there.
       if (now_ - a.sent >= r.cls->key_window / 2) return false;
-      const UpstreamInfo& first = upstreams_[a.upstream].info;
-      const UpstreamInfo& next = upstreams_[upstream].info;
+      const UpstreamInfo& first = a.upstream->info;
+      const UpstreamInfo& next = upstream.info;
       if (r.cls->key_scope == KeyScope::kZone && first.zone != next.zone) return false;
       if (r.cls->key_scope == KeyScope::kCell && first.cell != next.cell) return false;
     }
@@ -492,20 +480,20 @@
   }
 
   bool Send(Request& r) {
-    const std::optional<std::size_t> pick = Pick(r);
+    const UpstreamPtr pick = Pick(r);
     if (!pick) return false;
-    r.asked = {{*pick}};
+    r.asked = {{pick}};
     while (r.asked.size() < asks_) {
-      const std::optional<std::size_t> next = Pick(r);
+      const UpstreamPtr next = Pick(r);
       if (!next || Tried(r, *next)) break;  // there is no other
-      r.asked.push_back({*next});
+      r.asked.push_back({next});
     }
     if (r.asked.size() == 1) {
       r.asked.clear();
-      SendTo(r, *pick, false);
+      SendTo(r, pick, false);
       return true;
     }
-    for (const Asked& a : r.asked) Emit(SendProbe{upstreams_[a.upstream].info.id});
+    for (const Asked& a : r.asked) Emit(SendProbe{a.upstream->info.id});
     asking_.push_back(r.id);
     Wake(r, now_ + Scaled(settings_.limits.connect_timeout, kAskPatience));
     return true;
@@ -517,12 +505,12 @@
     const std::vector<Asked> asked = std::exchange(r.asked, {});
     std::erase(asking_, r.id);
     if (r.ended || r.streaming) return;
-    std::optional<std::size_t> best;
+    UpstreamPtr best;
     double least = 0;
     bool jammed = false;
     for (const Asked& a : asked) {
-      Upstream& u = upstreams_[a.upstream];
-      if (!a.held || !MayTake(u) || !MaySend(r, a.upstream)) continue;
+      Upstream& u = *a.upstream;
+      if (!a.held || !MayTake(u) || !MaySend(r, u)) continue;
       // Holds more than it serves within the aim: a call would be late and keep it jammed.
       if (a.served > 0 && *a.held > a.served * kHoldFor * Seconds(r.cls->aim)) {
         jammed = true;
@@ -533,7 +521,7 @@
     }
     if (jammed && !best) SayRefusing("overload, upstreams hold more than they can serve in time");
     if (!jammed && !best) best = Pick(r);
-    if (best) return SendTo(r, *best, false);
+    if (best) return SendTo(r, best, false);
     if (!AnyOut(r)) Finish(r);
   }
 
@@ -541,8 +529,7 @@
     const auto it = index_.find(e.upstream.value);
     if (it == index_.end()) return;
     // No answer to as little as this is a failure like another.
-    if (e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kTimeout)
-      ++upstreams_[it->second].failure_run;
+    if (e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kTimeout) ++it->second->failure_run;
     const std::vector<RequestId> asking = asking_;
     for (const RequestId id : asking) {
       Request* r = Find(id);
@@ -558,8 +545,8 @@
     }
   }
 
-  void SendTo(Request& r, std::size_t upstream, bool trial) {
-    Upstream& u = upstreams_[upstream];
+  void SendTo(Request& r, const UpstreamPtr& upstream, bool trial) {
+    Upstream& u = *upstream;
     if (Warmth(u) < 1) u.cold_budget -= 1;
     if (u.outstanding++ == 0) u.waiting_since = now_;
     peak_held_ = std::max(peak_held_, ++held_);
@@ -571,7 +558,7 @@
     }
     const bool connects = !HasConnection(u);
     if (u.idle > 0) --u.idle;
-    r.attempts.push_back({upstream, u.process, now_, trial, connects, idle_for});
+    r.attempts.push_back({upstream, now_, trial, connects, idle_for});
     Emit(SendAttempt{r.id, u.info.id, Timeout(r)});
   }
 
@@ -580,10 +567,10 @@
   // trial: refusing all while some could serve is the worst outcome.
   bool Try(Request& r) {
     if (!settings_.limits.second_copies && !r.attempts.empty()) return false;
-    for (const std::size_t i : order_) {
-      if (r.cls->effect == Effect::kUnsafe || Tried(r, i)) continue;
-      if (!MayTake(upstreams_[i], true) || !MaySend(r, i)) continue;
-      SendTo(r, i, true);
+    for (const UpstreamPtr& u : order_) {
+      if (r.cls->effect == Effect::kUnsafe || Tried(r, *u)) continue;
+      if (!MayTake(*u, true) || !MaySend(r, *u)) continue;
+      SendTo(r, u, true);
       return true;
     }
     return false;
@@ -651,10 +638,10 @@
     if (r.ended || r.streaming || !AnyOut(r) || retry_budget_ < 1) return;
     if (now_ < r.late_at) return;
     if (held_ > 1 && held_ > limit_ * kSheddingFrom) return;
-    const std::optional<std::size_t> pick = Pick(r, true);
+    const UpstreamPtr pick = Pick(r, true);
     if (!pick) return;
     retry_budget_ -= 1;
-    SendTo(r, *pick, false);
+    SendTo(r, pick, false);
   }
 
   void On(const AnswerStarted& e) {
@@ -671,12 +658,12 @@
     Attempt* attempt = r == nullptr ? nullptr : AttemptOf(*r, e.attempt);
     if (attempt == nullptr || attempt->outcome) return;
     attempt->outcome = e.outcome;
-    Upstream& u = upstreams_[attempt->upstream];
-    if (attempt->process == u.process) --u.outstanding;
+    Upstream& u = *attempt->upstream;
+    --u.outstanding;
     CountLate(*r, u, e.outcome, e.elapsed);
     --held_;
-    if (attempt->process == u.process) LearnConnecting(u, *attempt, r->cls_index, e.outcome, e.elapsed);
-    if (attempt->process == u.process) LearnTime(u, r->cls_index, e.outcome, e.elapsed);
+    LearnConnecting(u, *attempt, r->cls_index, e.outcome, e.elapsed);
+    LearnTime(u, r->cls_index, e.outcome, e.elapsed);
     Judge(u, *attempt, e.outcome);
     if (e.outcome == Outcome::kServed) ++served_;
     if (e.finished) {
@@ -730,11 +717,11 @@
   // would refuse for nothing when the whole fleet is slow.
   void UpdateLimit() {
     telling_weight_ = serving_weight_ = able_weight_ = 0;
-    for (const Upstream& u : upstreams_) {
-      if (u.info.state != UpstreamState::kServing) continue;
-      serving_weight_ += u.info.weight;
-      if (Telling(u)) telling_weight_ += u.info.weight;
-      if (!u.ejected) able_weight_ += u.info.weight * Warmth(u);
+    for (const UpstreamPtr& u : order_) {
+      if (u->info.state != UpstreamState::kServing) continue;
+      serving_weight_ += u->info.weight;
+      if (Telling(*u)) telling_weight_ += u->info.weight;
+      if (!u->ejected) able_weight_ += u->info.weight * Warmth(*u);
     }
     const bool in_time = late_ <= kTooManyLate / 2 * timely_or_not_;
     if (in_time && able_weight_ > 0) usual_held_ += (held_ / able_weight_ - usual_held_) / kSlownessMemory;
@@ -845,7 +832,7 @@
       refusing_ = false;
       Say("taking calls again");
     }
-    for (Upstream& u : upstreams_) ReturnIfServed(u);
+    for (const UpstreamPtr& u : order_) ReturnIfServed(*u);
     if (ask_again_at_ && now_ >= *ask_again_at_) {
       ask_again_at_.reset();
       Emit(Subscribe{});
@@ -882,9 +869,8 @@
   std::vector<Action>* out_ = nullptr;
   bool running_ = false;
   TimePoint started_;
-  std::vector<Upstream> upstreams_;  // in the order in which they were first listed; ties go to the earlier
-  std::vector<std::size_t> order_;   // those that are not gone, by rank
-  std::unordered_map<std::string, std::size_t> index_;   // looked up, never walked
+  std::unordered_map<std::string, UpstreamPtr> index_;   // those that are not gone; walked only to sort them
+  std::vector<UpstreamPtr> order_;                       // the same, by rank
   std::unordered_map<RequestId, Request> requests_;      // looked up, never walked
   std::unordered_map<std::uint64_t, RequestId> timers_;  // looked up, never walked
   std::uint64_t last_token_ = kHousekeepingToken;
--- a/src/state.h
+++ b/src/state.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -49,11 +50,12 @@
          outcome == Outcome::kReset;
 }
 
+// One process of an upstream. A new start time, or coming back after it was gone, makes another one: outcomes
+// of calls to the earlier process say nothing of it.
 struct Upstream {
   UpstreamInfo info;
   std::uint64_t rank = 0;  // its place in this sidecar's order
-  // Counts its start times: outcomes of an earlier process say nothing of this one.
-  std::uint64_t process = 0;
+  bool listed = true;      // in the list that is being taken in
   // Ejection.
   int failure_run = 0;
   bool ejected = false;
@@ -81,9 +83,10 @@
   TimePoint cold_refilled;
 };
 
+using UpstreamPtr = std::shared_ptr<Upstream>;  // those that are gone live on while calls refer to them
+
 struct Attempt {
-  std::size_t upstream = 0;
-  std::uint64_t process = 0;
+  UpstreamPtr upstream;
   TimePoint sent;
   bool trial = false;
   bool connects = false;             // it found no connection to use
@@ -93,7 +96,7 @@
 
 // An upstream that was asked for its load before a call.
 struct Asked {
-  std::size_t upstream = 0;
+  UpstreamPtr upstream;
   bool answered = false;
   std::optional<double> held{};  // calls, as it says
   double served = 0;             // calls a second, as it says; 0 where it does not
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -74,6 +74,22 @@
   EXPECT_GT(w.Spread(40)["b"], 0);
 }
 
+// Guards against a list that only grows: what is gone is dropped, and an id that comes back inherits nothing.
+TEST(Ejection, OneThatWasGoneComesBackWithACleanRecord) {
+  World w;
+  w.List(4);
+  const std::size_t before = w.sent.size();
+  w.Arrive(kUnsafe, 100s);
+  const Sent held = w.sent[before];
+  w.FailRun(held.upstream, 5);
+  ASSERT_TRUE(w.Logged("ejected " + held.upstream));
+  w.Change(Up(held.upstream, UpstreamState::kGone));
+  w.Change(Up(held.upstream));
+  EXPECT_GT(w.Spread(40)[held.upstream], 0);
+  w.Finish(held, Outcome::kServed);  // of the one before
+  EXPECT_GT(w.Spread(40)[held.upstream], 0);
+}
+
 TEST(Rotation, EqualUpstreamsTakeEqualTurns) {
   World w;
   w.List(4);
