Strict requests, one deadline for each, silent clients first to go; answers never mixed up

Now: an idle upstream connection is only watched, any byte retires it, each request starts with empty buffer and parser; a head must tell where a served answer ends; at most 8 interim answers, no 101; unreadable load reports are none. Client heads are checked line by line before the parser sees them; framing, version, method, key, target and deadline must make sense, else 400 and close; ids stay taken for 5 s after their end. 2.5 s for a first whole request from connecting on, for later ones from their first byte; each side has half of the descriptors, silent and slow clients are closed before usual ones. Idle connections hold no buffer. boot_ms, weights and log lines are bounded.

--- a/node/descriptors.h
+++ b/node/descriptors.h
@@ -1,7 +1,6 @@
 // Counts the sockets that are open, against the limit that the deployment sets.
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 
 namespace mothrack {
@@ -30,20 +29,14 @@
     std::size_t& used_;
   };
 
-  // Is there room for one more? Guards each side against the other: clients that stay connected must not
-  // leave nothing to serve them with, nor the pools nothing to take clients with.
+  // Is there room for one more? Each side has half for its own: clients that connect and stay must not leave
+  // nothing to serve them with, nor make the pools close what the next request needs. A request takes one
+  // descriptor on either side, and a second copy one more.
   bool Room(Side side) const {
-    return clients_ + upstreams_ < limit_ &&
-           Used(side) + std::max<std::size_t>(1, limit_ / kReserve) < limit_;
+    return side == Side::kClient ? clients_ < limit_ / 2 : upstreams_ < limit_ - limit_ / 2;
   }
-  // Does this side hold more than what is kept for it?
-  bool BeyondReserve(Side side) const { return Used(side) > limit_ / kReserve; }
 
  private:
-  static constexpr std::size_t kReserve = 8;
-
-  std::size_t Used(Side side) const { return side == Side::kClient ? clients_ : upstreams_; }
-
   std::size_t limit_;
   std::size_t clients_ = 0;
   std::size_t upstreams_ = 0;
--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -35,6 +35,9 @@
 constexpr auto kFirstPause = milliseconds(50);
 constexpr auto kMostPause = milliseconds(1000);
 constexpr std::uint64_t kMostList = 4 * 1024 * 1024;
+// Beyond these (the year 2286; a million times the usual machine) a list is damaged.
+constexpr std::int64_t kMostBootMs = 9'999'999'999'999;
+constexpr double kMostWeight = 1e6;
 
 UpstreamState ParseState(const std::string& word) {
   if (word == "active") return UpstreamState::kServing;
@@ -63,6 +66,8 @@
     Location location;
     location.state = info.state;
     location.boot_ms = target.value("boot_ms", std::int64_t{0});
+    if (location.boot_ms < 0 || location.boot_ms > kMostBootMs) throw std::runtime_error("bad boot_ms");
+    if (!(info.weight >= 0 && info.weight <= kMostWeight)) throw std::runtime_error("bad capacity_hint");
     if (location.boot_ms > 0) info.started = clock.FromMilliseconds(location.boot_ms);
     const auto text = target.value("endpoint", "");
     if (const auto endpoint = ParseEndpoint(text)) {
--- a/node/http.cpp
+++ b/node/http.cpp
@@ -1,11 +1,55 @@
 #include "http.h"
 
+#include <algorithm>
 #include <boost/beast/http/rfc7230.hpp>
 #include <string>
 #include <vector>
 
 namespace mothrack {
 
+namespace {
+
+bool MayBegin(boost::beast::string_view bytes, boost::beast::string_view method) {
+  const auto size = std::min(bytes.size(), method.size());
+  return bytes.substr(0, size) == method.substr(0, size);
+}
+
+}  // namespace
+
+Head LookAtHead(boost::beast::string_view bytes, std::size_t& scanned) {
+  if (!MayBegin(bytes, "GET ") && !MayBegin(bytes, "POST ")) return Head::kBad;
+  // Each line end is judged with the byte behind it, so the last byte waits for the next look.
+  for (; scanned + 1 < bytes.size(); ++scanned) {
+    const char c = bytes[scanned];
+    const char next = bytes[scanned + 1];
+    if (c == '\0' || (c == '\r') != (next == '\n')) return Head::kBad;
+    if (c != '\n') continue;
+    if (next == ' ' || next == '\t') return Head::kBad;  // a folded header
+    if (next == '\r' && scanned + 2 < bytes.size())
+      return bytes[scanned + 2] == '\n' ? Head::kWhole : Head::kBad;
+    if (next == '\r') return Head::kPartial;
+  }
+  return bytes.size() < kMostHeader ? Head::kPartial : Head::kBad;
+}
+
+const char* FramingFault(const http::request_header<>& header) {
+  if (header.version() != 10 && header.version() != 11) return "unknown version";
+  const auto codings = header.count(http::field::transfer_encoding);
+  const auto lengths = header.count(http::field::content_length);
+  if (codings > 0 && lengths > 0) return "both Content-Length and Transfer-Encoding";
+  if (codings > 1 || lengths > 1) return "body framed more than once";
+  if (codings > 0 && header.version() == 10) return "Transfer-Encoding in HTTP/1.0";
+  if (codings > 0 && !boost::beast::iequals(header[http::field::transfer_encoding], "chunked")) {
+    return "unknown Transfer-Encoding";
+  }
+  const auto length = header[http::field::content_length];
+  const auto digit = [](char c) { return c >= '0' && c <= '9'; };
+  if (lengths > 0 && (length.empty() || !std::all_of(length.begin(), length.end(), digit))) {
+    return "bad Content-Length";
+  }
+  return nullptr;
+}
+
 void RemoveHopByHop(http::fields& fields) {
   std::vector<std::string> named;
   const auto range = fields.equal_range(http::field::connection);
--- a/node/http.h
+++ b/node/http.h
@@ -20,6 +20,16 @@
 // What a connection reads ahead of its parser.
 constexpr std::size_t kMostRead = 32 * 1024;
 
+// What has come of a request's head. `scanned` is where the last look at the same bytes ended.
+enum class Head { kPartial, kWhole, kBad };
+// Bad is what other readers may take for something else than the parser does: lines that end or go on oddly,
+// and all that begins with no method that is served here.
+Head LookAtHead(boost::beast::string_view bytes, std::size_t& scanned);
+
+// Where a request's body ends must be beyond doubt: what one reader takes for a body may hold a request for
+// the next. Names what is wrong with it; null where nothing is.
+const char* FramingFault(const http::request_header<>& header);
+
 // Takes away what speaks of one connection only and must not be passed on.
 void RemoveHopByHop(http::fields& fields);
 
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -22,11 +22,22 @@
 
 constexpr auto kSweep = milliseconds(250);
 constexpr auto kDrainSweep = milliseconds(10);
-// A request that has begun to come, or an answer that is not taken, holds its connection for this long.
-constexpr Duration kStalled = seconds(10);
+// A connection has so long, from its start, for its first whole request; a later request from its first byte
+// on; an answer to be taken. Not renewed by what trickles: the deployment wants silent and stalled clients
+// gone within 3 s of connecting.
+constexpr Duration kStalled = milliseconds(2500);
+// The deployment lets connections be closed on which no request was open for so long.
+constexpr Duration kSpareIdle = seconds(2);
+// Usual clients connect when they have a request: one that has said nothing by now, or not finished its
+// request by then, goes before those.
+constexpr Duration kSilent = milliseconds(100);
+constexpr Duration kSlow = seconds(1);
 // After a last answer the client's close is waited for: a reset could overtake the answer. Short, as a
 // planned stop waits for it too.
 constexpr Duration kLinger = milliseconds(250);
+// Whoever sends on for long after the last answer gets the reset: reading megabytes to the end is no service.
+constexpr std::size_t kMostLinger = 256 * 1024;
+constexpr std::size_t kReadSize = 8192;
 // Clients go on opening connections for a moment after a planned stop began.
 constexpr Duration kAcceptWhileDraining = milliseconds(800);
 // A connection opened in that time is about to carry a request.
@@ -73,19 +84,36 @@
     Close();
   }
 
-  bool idle() const { return state_ == State::kReading && !started_; }
   TimePoint since() const { return since_; }
 
+  bool Idle() const { return state_ == State::kReading && !started_; }
+
   // Nothing of a further request has come, not even into the system's buffer.
   bool SparesClose() {
-    if (!idle()) return false;
+    if (!Idle()) return false;
     error_code error;
     return socket_.available(error) == 0 || error;
   }
 
-  bool Overdue(TimePoint now) const {
-    if (state_ == State::kLingering) return now - since_ > kLinger;
-    return (state_ == State::kWriting || (state_ == State::kReading && started_)) && now - since_ > kStalled;
+  // Which goes first when descriptors run out, the lowest number first; nothing where it must stay. Usual
+  // clients' connections outlast those of clients that say nothing.
+  std::optional<int> Spare(TimePoint now) const {
+    const Duration age = now - since_;
+    if (state_ == State::kLingering) return 0;
+    if (state_ != State::kReading) return std::nullopt;
+    if (started_) return age > kSlow ? 3 : 6;
+    if (unused_) return age > kSilent ? 1 : 4;
+    return age > kSpareIdle ? 2 : 5;
+  }
+
+  // Ends what has had its time.
+  void CloseIfOverdue(TimePoint now) {
+    if (closed_ || state_ == State::kServing ||
+        now - since_ <= (state_ == State::kLingering ? kLinger : kStalled))
+      return;
+    if (state_ != State::kReading) return Close();
+    if (started_) return Reject(http::status::request_timeout, "request did not come in time");
+    if (unused_) Close();
   }
 
   bool Fresh(TimePoint now) const { return unused_ && now - since_ < kFreshConnection; }
@@ -98,56 +126,82 @@
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
     started_ = false;
-    continued_ = false;
+    head_checked_ = false;
+    scanned_ = 0;
     since_ = Now();
+    if (buffer_.size() == 0) buffer_.shrink_to_fit();  // most connections are idle most of the time
   }
 
+  // Waits without a buffer: hundreds of connections may be idle.
   void Read() {
     if (reading_ || closed_ || buffer_.size() == buffer_.max_size()) return;
     reading_ = true;
-    const std::size_t room = std::min<std::size_t>(buffer_.max_size() - buffer_.size(), 8192);
-    socket_.async_read_some(buffer_.prepare(room),
-                            [self = shared_from_this()](error_code error, std::size_t size) {
-                              self->reading_ = false;
-                              if (self->closed_ || self->owner_ == nullptr) return;
-                              if (error) return self->Close();
-                              self->buffer_.commit(size);
-                              self->Progress();
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+      self->reading_ = false;
+      if (self->closed_ || self->owner_ == nullptr) return;
+      if (error) return self->Close();
+      self->Receive();
+    });
+  }
+
+  void Receive() {
+    const std::size_t room = std::min(buffer_.max_size() - buffer_.size(), kReadSize);
+    error_code error;
+    const std::size_t size = socket_.read_some(buffer_.prepare(room), error);
+    if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) return Read();
+    if (error) return Close();
+    buffer_.commit(size);
+    Progress();
   }
 
   void Progress() {
-    if (state_ == State::kLingering) buffer_.consume(buffer_.size());
+    if (state_ == State::kLingering) {
+      lingered_ += buffer_.size();
+      buffer_.consume(buffer_.size());
+      if (lingered_ > kMostLinger) return Close();
+    }
     if (state_ == State::kReading) Parse();
     Read();
   }
 
   void Parse() {
     while (state_ == State::kReading && buffer_.size() > 0) {
-      if (!std::exchange(started_, true)) since_ = Now();
-      unused_ = false;
+      if (!std::exchange(started_, true) && !std::exchange(unused_, false)) since_ = Now();
+      if (!parser_->is_header_done()) {
+        const Head head = LookAtHead(Unparsed(), scanned_);
+        if (head == Head::kPartial) return;
+        if (head == Head::kBad) return Reject(http::status::bad_request, "bad request head");
+      }
       // Not in one go with the header: Beast 1.74 then forgets that the body is beyond the bound.
       parser_->eager(parser_->is_header_done());
       error_code error;
       const std::size_t used = parser_->put(buffer_.data(), error);
       buffer_.consume(used);
       if (error == http::error::need_more) error = {};
-      if (error) {
-        close_after_ = true;
-        return Answer(error == http::error::body_limit
-                          ? Plain(http::status::payload_too_large, "body too large")
-                          : Plain(http::status::bad_request, error.message()));
+      if (error == http::error::body_limit) return Reject(http::status::payload_too_large, "body too large");
+      if (error) return Reject(http::status::bad_request, error.message());
+      if (parser_->is_header_done() && !std::exchange(head_checked_, true)) {
+        if (const char* fault = FramingFault(parser_->get())) return Reject(http::status::bad_request, fault);
+        Continue();
       }
       if (parser_->is_done()) return Serve();
-      Continue();
       if (used == 0) return;
     }
   }
 
+  boost::beast::string_view Unparsed() const {
+    return {static_cast<const char*>(buffer_.data().data()), buffer_.data().size()};
+  }
+
+  // Whoever sent this can't be followed any further: nothing behind it on this connection is read as a
+  // request.
+  void Reject(http::status status, const std::string& why) {
+    close_after_ = true;
+    Answer(Plain(status, why));
+  }
+
   // A client that asked whether to go on waits for this before it sends the body.
   void Continue() {
-    if (continued_ || !parser_->is_header_done()) return;
-    continued_ = true;
     if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) return;
     static constexpr char kGoOn[] = "HTTP/1.1 100 Continue\r\n\r\n";
     error_code ignored;
@@ -156,11 +210,18 @@
 
   void Serve() {
     HttpRequest request = parser_->release();
-    if (!request.keep_alive() || request.method() == http::verb::head) close_after_ = true;
+    // Trailers have joined the head. And what follows a body must begin like a request, or its length was
+    // wrong.
+    if (const char* fault = FramingFault(request)) return Reject(http::status::bad_request, fault);
+    std::size_t scanned = 0;
+    if (buffer_.size() > 0 && LookAtHead(Unparsed(), scanned) == Head::kBad) {
+      return Reject(http::status::bad_request, "no request behind the body");
+    }
+    if (!request.keep_alive()) close_after_ = true;
     version_ = request.version();
     const auto target = request.target();
     state_ = State::kServing;
-    if (target == "/up") {
+    if (target == "/up" && request.method() == http::verb::get) {
       const bool draining = owner_->drained_ != nullptr;
       return Answer(draining ? Plain(http::status::service_unavailable, "draining")
                              : Plain(http::status::ok, "up"));
@@ -176,7 +237,8 @@
   void Answer(HttpResponse response) {
     state_ = State::kWriting;
     since_ = Now();
-    if (owner_ != nullptr && owner_->drained_) close_after_ = true;
+    // The one who finds a request unfit asks for the close by the answer.
+    if (!response.keep_alive() || (owner_ != nullptr && owner_->drained_)) close_after_ = true;
     response_ = std::move(response);
     response_.version(version_);
     response_.keep_alive(!close_after_);
@@ -212,21 +274,22 @@
   State state_ = State::kReading;
   TimePoint since_;  // of the state, or of a request's first byte
   unsigned version_ = 11;
-  bool started_ = false;    // some of a request has come
-  bool unused_ = true;      // nothing has ever come
-  bool continued_ = false;  // it was looked whether the client waits for a 100
+  bool started_ = false;  // some of a request has come
+  bool unused_ = true;    // nothing has ever come
+  bool head_checked_ = false;
+  std::size_t scanned_ = 0;   // of a head that is still to come whole
+  std::size_t lingered_ = 0;  // bytes read since the last answer
   bool close_after_ = false;
   bool reading_ = false;
   bool closed_ = false;
 };
 
 Listener::Listener(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors,
-                   Logger& log, OnRequest on_request, SpareOther spare_other)
+                   Logger& log, OnRequest on_request)
     : io_(io),
       descriptors_(descriptors),
       log_(log),
       on_request_(std::move(on_request)),
-      spare_other_(std::move(spare_other)),
       acceptor_(io),
       pause_(io),
       sweep_(io) {
@@ -249,7 +312,9 @@
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
     if (error || !acceptor_.is_open()) return;
     while (true) {
-      if (!MakeRoom()) return AcceptIn(kAcceptPause);
+      while (!descriptors_.Room(Descriptors::Side::kClient)) {
+        if (!Evict()) return AcceptIn(kAcceptPause);
+      }
       tcp::socket socket(io_);
       acceptor_.accept(socket, error);
       if (!error) {
@@ -262,7 +327,7 @@
           error == boost::asio::error::no_buffer_space ||
           error == boost::system::errc::too_many_files_open_in_system) {
         log_.Line("accept: " + error.message());
-        if (!spare_other_()) EvictIdle();
+        Evict();
         return AcceptIn(kAcceptPause);
       }
       if (error != boost::asio::error::connection_aborted) log_.Line("accept: " + error.message());
@@ -288,21 +353,27 @@
   connection->Start();
 }
 
-bool Listener::MakeRoom() {
-  while (!descriptors_.Room(Descriptors::Side::kClient)) {
-    if (!spare_other_() && !EvictIdle()) return false;
-  }
-  return true;
-}
-
-bool Listener::EvictIdle() {
-  std::shared_ptr<Connection> longest;
-  for (const auto& connection : connections_) {
-    if (!connection->SparesClose()) continue;
-    if (!longest || connection->since() < longest->since()) longest = connection;
+bool Listener::Evict() {
+  const TimePoint now = Now();
+  // Those of which more has come than was read are no candidates; there are few.
+  std::set<Connection*> busy;
+  while (true) {
+    std::shared_ptr<Connection> best;
+    std::pair<int, TimePoint> lowest;
+    for (const auto& connection : connections_) {
+      const auto spare = connection->Spare(now);
+      if (!spare || busy.contains(connection.get())) continue;
+      const std::pair rank(*spare, connection->since());
+      if (!best || rank < lowest) best = connection, lowest = rank;
+    }
+    if (!best) return false;
+    if (best->Idle() && !best->SparesClose()) {
+      busy.insert(best.get());
+      continue;
+    }
+    best->Close();
+    return true;
   }
-  if (longest) longest->Close();
-  return longest != nullptr;
 }
 
 void Listener::Drain(std::function<void()> done) {
@@ -328,8 +399,8 @@
   const TimePoint now = Now();
   const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
   for (const auto& connection : all) {
-    const bool spare = drained_ && !connection->Fresh(now) && connection->SparesClose();
-    if (spare || connection->Overdue(now)) connection->Close();
+    if (drained_ && !connection->Fresh(now) && connection->SparesClose()) connection->Close();
+    connection->CloseIfOverdue(now);
   }
   if (drained_ && acceptor_.is_open() && now - drain_started_ > kAcceptWhileDraining) CloseAcceptor();
 }
--- a/node/listener.h
+++ b/node/listener.h
@@ -23,20 +23,16 @@
   using OnGone = std::function<void()>;
   // Takes one request and calls `reply` once, perhaps at once.
   using OnRequest = std::function<OnGone(HttpRequest request, Reply reply)>;
-  using SpareOther = std::function<bool()>;
 
-  // Binds and listens; throws boost::system::system_error. `spare_other` closes a
-  // connection on the other side that can be spared.
+  // Binds and listens; throws boost::system::system_error.
   Listener(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors, Logger& log,
-           OnRequest on_request, SpareOther spare_other);
+           OnRequest on_request);
   ~Listener();
 
   Endpoint local() const { return acceptor_.local_endpoint(); }
 
   // A planned stop: serves what still comes for a while, tells each client to close, then calls `done`.
   void Drain(std::function<void()> done);
-  // Closes the client connection that has been idle longest; false where there is none.
-  bool EvictIdle();
 
  private:
   class Connection;
@@ -44,7 +40,8 @@
   void Accept();
   void AcceptIn(Duration wait);
   void Admit(boost::asio::ip::tcp::socket socket);
-  bool MakeRoom();
+  // Closes the client connection that can be spared best; false where there is none.
+  bool Evict();
   void ScheduleSweep();
   void Sweep();
   void CloseAcceptor();
@@ -53,7 +50,6 @@
   Descriptors& descriptors_;
   Logger& log_;
   const OnRequest on_request_;
-  const SpareOther spare_other_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   boost::asio::steady_timer sweep_;
--- a/node/log.h
+++ b/node/log.h
@@ -27,12 +27,13 @@
     }
     allowed_ -= 1;
     if (dropped_ > 0) std::cerr << name_ << ": " << std::exchange(dropped_, 0) << " lines left out\n";
-    std::cerr << name_ << ": " << text << std::endl;
+    std::cerr << name_ << ": " << text.substr(0, kLongest) << std::endl;
   }
 
  private:
   static constexpr double kBurst = 100;
   static constexpr double kPerSecond = 5;
+  static constexpr std::size_t kLongest = 500;
   std::string name_;
   double allowed_ = kBurst;
   TimePoint refilled_ = Now();
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -22,8 +22,12 @@
 // The client's clock started when it sent the request: so much earlier, at least, than it was read here.
 constexpr Duration kTrip = milliseconds(2);
 constexpr std::size_t kLongestId = 128;
-constexpr auto kClients = Descriptors::Side::kClient;
-constexpr auto kUpstreams = Descriptors::Side::kUpstream;
+// A second request under the id of one that ended just now is a copy that crossed the answer: it must not run
+// again. Ids are never used again, so they need no longer memory than such a copy takes.
+constexpr Duration kIdMemory = std::chrono::seconds(5);
+constexpr std::size_t kMostEndedIds = 8192;
+// A client that says it waits longer than this many of its class's deadlines has no idea what it says.
+constexpr int kMostDeadlines = 2;
 
 HttpResponse Plain(http::status status, const std::string& text) {
   HttpResponse response(status, 11);
@@ -32,6 +36,13 @@
   return response;
 }
 
+// For what is no request of this protocol: its connection is closed, too.
+HttpResponse Unfit(const std::string& why) {
+  auto response = Plain(http::status::bad_request, why);
+  response.keep_alive(false);
+  return response;
+}
+
 // The one value of a header; nothing where it is missing or given twice.
 std::optional<string_view> Single(const HttpRequest& request, string_view name) {
   const auto range = request.equal_range(name);
@@ -39,9 +50,21 @@
   return range.first->value();
 }
 
-bool GoodId(string_view id) {
-  return !id.empty() && id.size() <= kLongestId &&
-         std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c < 127; });
+bool Visible(string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
+bool GoodId(string_view id) { return !id.empty() && id.size() <= kLongestId && Visible(id); }
+
+// Does the method tell the same as the class? What contradicts itself could be repeated against its class.
+bool Fits(const HttpRequest& request, kestrellb::Effect effect) {
+  if (effect == kestrellb::Effect::kSafe) {
+    return request.method() == http::verb::get && request.body().empty();
+  }
+  const auto key = Single(request, "Idempotency-Key");
+  const bool keyed = key && GoodId(*key);
+  return request.method() == http::verb::post &&
+         (effect == kestrellb::Effect::kKeyed ? keyed : request.count("Idempotency-Key") == 0);
 }
 
 template <typename T>
@@ -91,8 +114,7 @@
       log_(config.name),
       descriptors_(config.sockets),
       balancer_(config.settings, config.seed),
-      upstreams_(io, config.settings.limits, config.settings.load_by_probe, descriptors_,
-                 [this] { return descriptors_.BeyondReserve(kClients) && listener_.EvictIdle(); }),
+      upstreams_(io, config.settings.limits, config.settings.load_by_probe, descriptors_),
       discovery_(
           io, config.discovery, config.settings.membership_on_request, unix_clock_, log_,
           [this](MembershipList list) { Apply(std::move(list)); },
@@ -100,12 +122,9 @@
             Deliver(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}});
           }),
       timer_(io),
-      listener_(
-          io, config.listen, descriptors_, log_,
-          [this](HttpRequest request, Listener::Reply reply) {
-            return Take(std::move(request), std::move(reply));
-          },
-          [this] { return descriptors_.BeyondReserve(kUpstreams) && upstreams_.EvictIdle(); }) {
+      listener_(io, config.listen, descriptors_, log_, [this](HttpRequest request, Listener::Reply reply) {
+        return Take(std::move(request), std::move(reply));
+      }) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
     classes_.emplace(settings_.classes[i].name, kestrellb::ClassId{i});
   }
@@ -163,23 +182,26 @@
 Listener::OnGone Sidecar::Take(HttpRequest request, Listener::Reply reply) {
   const TimePoint now = Now();
   const auto bad = [&reply](const std::string& why) {
-    reply(Plain(http::status::bad_request, why));
+    reply(Unfit(why));
     return nullptr;
   };
-  // What their answers look like on the wire is no plain answer with a body.
-  if (request.method() == http::verb::head || request.method() == http::verb::connect) {
-    return bad("method not supported");
-  }
+  RemoveHopByHop(request);  // first: `Connection` may name what is checked below
+  if (!Visible(request.target())) return bad("bad target");
   const auto cls = classes_.find(std::string(FirstPart(request.target())));
   if (cls == classes_.end()) return bad("unknown class");
+  const auto& known = settings_.classes[static_cast<std::size_t>(cls->second)];
+  if (!Fits(request, known.effect)) return bad("method or Idempotency-Key does not fit the class");
   const auto wire_id = Single(request, "X-Request-ID");
   if (!wire_id || !GoodId(*wire_id)) return bad("missing or bad X-Request-ID");
   const auto timeout_text = Single(request, "X-Timeout-Ms");
   const auto timeout = timeout_text ? Whole<std::uint32_t>(*timeout_text) : std::nullopt;
-  if (!timeout || *timeout == 0) return bad("missing or bad X-Timeout-Ms");
+  if (!timeout || *timeout == 0 || milliseconds(*timeout) > kMostDeadlines * known.deadline) {
+    return bad("missing or bad X-Timeout-Ms");
+  }
   // Two requests of one id could not be told apart upstream.
   const std::string key(*wire_id);
-  if (!in_flight_.insert(key).second) return bad("X-Request-ID is in flight");
+  ForgetOldIds(now);
+  if (!taken_ids_.insert(key).second) return bad("X-Request-ID is taken");
 
   kestrellb::RequestArrived event;
   event.request = RequestId{++last_request_};
@@ -191,7 +213,6 @@
   if (const auto cost = Whole<std::uint32_t>(request["X-Cost"])) event.work = Duration(*cost);
   event.client_retry = request["X-Retried"] == "1";
 
-  RemoveHopByHop(request);
   Pending pending;
   pending.wire_id = key;
   pending.message = std::make_shared<const HttpRequest>(std::move(request));
@@ -220,6 +241,7 @@
     HttpResponse response(http::status::ok, 11);
     response.base() = std::move(result.response.base());
     response.body() = std::move(result.response.body());
+    response.version(11);
     RemoveHopByHop(response);
     Answer(pending, std::move(response));
   }
@@ -236,10 +258,18 @@
 void Sidecar::ForgetIfDone(RequestId id) {
   const auto it = requests_.find(id);
   if (it == requests_.end() || it->second.reply || it->second.out > 0) return;
-  in_flight_.erase(it->second.wire_id);
+  ended_ids_.emplace_back(Now(), std::move(it->second.wire_id));
   requests_.erase(it);
 }
 
+void Sidecar::ForgetOldIds(TimePoint now) {
+  while (!ended_ids_.empty() &&
+         (ended_ids_.size() > kMostEndedIds || now - ended_ids_.front().first > kIdMemory)) {
+    taken_ids_.erase(ended_ids_.front().second);
+    ended_ids_.pop_front();
+  }
+}
+
 void Sidecar::CarryOut(const kestrellb::SendAttempt& action) {
   const auto it = requests_.find(action.request);
   if (it == requests_.end()) return;
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -57,6 +57,7 @@
   void Gone(kestrellb::RequestId id);
   void Ended(kestrellb::RequestId id, kestrellb::AttemptId attempt, ExchangeResult result);
   void Answer(Pending& pending, HttpResponse response);
+  void ForgetOldIds(TimePoint now);
   void ForgetIfDone(kestrellb::RequestId id);
   void ArmTimer();
 
@@ -84,7 +85,9 @@
   std::deque<kestrellb::Event> events_;
   bool delivering_ = false;
   std::unordered_map<kestrellb::RequestId, Pending> requests_;
-  std::set<std::string, std::less<>> in_flight_;  // their ids as the clients gave them
+  // Ids as the clients gave them, of requests that are open or have ended a short while ago.
+  std::set<std::string, std::less<>> taken_ids_;
+  std::deque<std::pair<TimePoint, std::string>> ended_ids_;
   std::uint64_t last_request_ = 0;
   std::uint64_t last_exchange_ = 0;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
--- a/node/upstreams.cpp
+++ b/node/upstreams.cpp
@@ -29,6 +29,11 @@
 constexpr Duration kIdleMargin = milliseconds(500);
 constexpr auto kSweep = milliseconds(250);
 
+// Interim answers ahead of the one answer; more are no honest upstream's.
+constexpr int kMostInterim = 8;
+// No load is beyond this, whatever its unit.
+constexpr double kMostLoad = 1e6;
+
 Duration TrustedIdle(Duration limit) {
   return std::max(limit / 2, limit - std::max(limit / kIdleShare, kIdleMargin));
 }
@@ -37,10 +42,12 @@
   double value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  if (!(value >= 0 && value <= kMostLoad)) return std::nullopt;  // from_chars takes "nan" and "inf", too
   return value;
 }
 
-// `inflight=7,queue=2,util=0.61`, under the names of the protocol or of the settings.
+// `inflight=7,queue=2,util=0.61`, under the names of the protocol or of the settings. A report of which a
+// part can't be read is none: the rest of it is no more to be trusted.
 LoadReport ParseLoad(boost::beast::string_view text) {
   LoadReport load;
   while (!text.empty()) {
@@ -55,6 +62,7 @@
     if (equals == boost::beast::string_view::npos) continue;
     const auto name = field.substr(0, equals);
     const auto value = Number(field.substr(equals + 1));
+    if (!value) return {};
     if (name == "inflight" || name == "rif") load.in_flight = value;
     if (name == "queue" || name == "q") load.queued = value;
     if (name == "util" || name == "busy") load.utilization = value;
@@ -63,6 +71,15 @@
   return load;
 }
 
+// Does the head tell where a served answer ends? One that ends with its connection can't be told from one
+// that was cut short.
+bool TellsItsEnd(const http::response_parser<http::string_body>& parser) {
+  const auto& header = parser.get();
+  const auto codings = header.count(http::field::transfer_encoding);
+  if (codings == 0) return parser.content_length().has_value();
+  return codings == 1 && boost::beast::iequals(header[http::field::transfer_encoding], "chunked");
+}
+
 Outcome Classify(const http::response_header<>& header) {
   const unsigned status = header.result_int();
   if (status == 200) return Outcome::kServed;
@@ -73,8 +90,9 @@
 
 }  // namespace
 
-// One connection and what it carries. A read is pending on it from the moment it stands, so that a close is
-// seen while it is idle. It is its own handlers' owner; Close() makes those that are under way no-ops.
+// One connection and what it carries. While it is idle it is only watched: whatever comes then, a close or
+// bytes, retires it, and each request starts with nothing read and nothing parsed. It is its own handlers'
+// owner; Close() makes those that are under way no-ops.
 class Upstreams::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Upstreams& owner, const std::shared_ptr<Pool>& pool)
@@ -101,8 +119,11 @@
     sent_ = Now();
     gives_up_ = sent_ + timeout;
     phase_ = connected_ ? Phase::kWriting : Phase::kConnecting;
+    ++use_;
+    interim_ = 0;
     if (connected_) {
       ArmTimer(gives_up_);
+      Read();
       return Write();
     }
     ArmTimer(std::min(gives_up_, sent_ + owner_.connect_timeout_));
@@ -198,12 +219,23 @@
     // the body comes along with the header, and would take all of it.
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code error, std::size_t) {
-                              if (self->closed_) return;
-                              if (error || self->phase_ == Phase::kIdle) return self->OnRead(error);
-                              self->ReadBody();
+                              if (!self->closed_) self->OnHeader(error);
                             });
   }
 
+  void OnHeader(error_code error) {
+    if (error) return End(Cause::kBroken);
+    const unsigned status = parser_->get().result_int();
+    if (status / 100 == 1) {
+      const bool odd = status == static_cast<unsigned>(http::status::switching_protocols);
+      if (odd || ++interim_ > kMostInterim) return End(Cause::kBroken);
+      return Read();
+    }
+    // Nor does an upstream have an answer before it has the whole request.
+    if (status == 200 && (write_pending_ || !TellsItsEnd(*parser_))) return End(Cause::kBroken);
+    ReadBody();
+  }
+
   void ReadBody() {
     http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
       if (!self->closed_) self->OnRead(error);
@@ -211,13 +243,7 @@
   }
 
   void OnRead(error_code error) {
-    if (phase_ == Phase::kIdle) {  // closed by the upstream, or bytes that nobody asked for
-      const auto self = shared_from_this();
-      owner_.Forget(*this);
-      return Close();
-    }
     if (error) return End(Cause::kBroken);
-    if (parser_->get().result_int() / 100 == 1) return Read();  // an interim answer
     HttpResponse response = parser_->release();
     ExchangeResult result{Classify(response), Now() - sent_, ParseLoad(response["X-Server-Load"]), {}};
     // An answer before the request was written out leaves the connection between messages.
@@ -230,8 +256,8 @@
     owner_.exchanges_.erase(id_);
     if (keep) {
       idle_since_ = Now();
-      request_.reset();
-      Read();
+      Clear();
+      Watch();
       owner_.Release(self);
     } else {
       Close();
@@ -239,6 +265,24 @@
     on_end(std::move(result));
   }
 
+  // An idle connection keeps nothing of its last exchange.
+  void Clear() {
+    request_.reset();
+    serializer_.reset();
+    message_.reset();
+    parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+  }
+
+  void Watch() {
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), use = use_](error_code error) {
+      if (error || self->closed_ || self->use_ != use) return;
+      self->owner_.Forget(*self);
+      self->Close();
+    });
+  }
+
   void Finish(Cause cause) {
     const bool written = serializer_ && serializer_->is_done();
     Outcome outcome = Outcome::kNotSent;
@@ -266,6 +310,8 @@
   bool closed_ = false;
   bool write_pending_ = false;
   std::optional<Cause> ending_;
+  std::uint64_t use_ = 0;  // counts the exchanges: a watch that one outran is void
+  int interim_ = 0;
   ExchangeId id_{};
   std::shared_ptr<const HttpRequest> request_;
   OnEnd on_end_;
@@ -275,13 +321,12 @@
 };
 
 Upstreams::Upstreams(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
-                     Descriptors& descriptors, SpareOther spare_other)
+                     Descriptors& descriptors)
     : io_(io),
       connect_timeout_(limits.connect_timeout),
       trusted_idle_(TrustedIdle(limits.idle_close)),
       probe_target_(load_by_probe ? "/metrics/load" : "/alive"),
       descriptors_(descriptors),
-      spare_other_(std::move(spare_other)),
       sweep_(io) {
   ScheduleSweep();
 }
@@ -390,13 +435,13 @@
 // upstream and proves that nothing ran.
 std::shared_ptr<Upstreams::Connection> Upstreams::Open(const std::shared_ptr<Pool>& pool) {
   while (!descriptors_.Room(Descriptors::Side::kUpstream)) {
-    if (!EvictIdle() && !spare_other_()) return nullptr;
+    if (!EvictIdle()) return nullptr;
   }
   do {
     auto connection = std::make_shared<Connection>(*this, pool);
     if (!connection->OpenSocket()) return connection;
     connection->Close();
-  } while (EvictIdle() || spare_other_());
+  } while (EvictIdle());
   return nullptr;
 }
 
--- a/node/upstreams.h
+++ b/node/upstreams.h
@@ -36,12 +36,10 @@
 class Upstreams {
  public:
   using OnEnd = std::function<void(ExchangeResult)>;
-  using SpareOther = std::function<bool()>;
   enum class ExchangeId : std::uint64_t {};
 
-  // `spare_other` closes a connection on the other side that can be spared.
   Upstreams(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
-            Descriptors& descriptors, SpareOther spare_other);
+            Descriptors& descriptors);
   ~Upstreams();
 
   // What discovery tells of one upstream. Where it drains, is gone, moved or started anew, its idle
@@ -57,8 +55,6 @@
   // Stops waiting: the connection is closed.
   void Cancel(ExchangeId id);
   void CloseIdle(const std::string& uid);
-  // Closes the connection that has been idle longest; false where there is none.
-  bool EvictIdle();
 
  private:
   class Connection;
@@ -69,6 +65,8 @@
 
   std::shared_ptr<Connection> TakeIdle(Pool& pool);
   std::shared_ptr<Connection> Open(const std::shared_ptr<Pool>& pool);
+  // Closes the connection that has been idle longest; false where there is none.
+  bool EvictIdle();
   void AbortUnsent(const std::shared_ptr<Pool>& pool);
   void Release(const std::shared_ptr<Connection>& connection);
   void Forget(const Connection& connection);
@@ -80,7 +78,6 @@
   const Duration trusted_idle_;
   const std::string probe_target_;
   Descriptors& descriptors_;
-  const SpareOther spare_other_;
   std::map<std::string, std::shared_ptr<Pool>> pools_;
   std::map<ExchangeId, std::shared_ptr<Connection>> exchanges_;
   boost::asio::steady_timer sweep_;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -233,6 +233,99 @@
   EXPECT_LE(wait, 2);
 }
 
+// ---- Spoilt answers ----
+
+// What an unsafe request gets for an upstream that sends these bytes and leaves the connection open.
+unsigned StatusForBytes(const std::string& bytes) {
+  Upstream upstream([&](Wire& wire, const Request&, int) { wire.Write(bytes); });
+  const unsigned status = UnsafeStatus(upstream.address(), 1000);
+  EXPECT_EQ(upstream.requests().size(), 1U) << bytes.substr(0, 80);
+  return status;
+}
+
+TEST(Spoilt, AnswerWhoseEndCannotBeToldHasFailed) {
+  for (const char* head :
+       {"", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked, gzip\r\n", "Content-Length: -5\r\n",
+        "Content-Length: 3000000000\r\n", "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n",
+        "Content-Length: 4\r\nContent-Length: 5\r\n"}) {
+    EXPECT_EQ(StatusForBytes(std::string("HTTP/1.1 200 OK\r\n") + head + "\r\nbody"), 502U) << head;
+  }
+}
+
+TEST(Spoilt, AnswerThatEndsOnlyWithItsConnectionHasFailed) {
+  Upstream upstream([](Wire& wire, const Request&, int) {
+    wire.Write("HTTP/1.1 200 OK\r\n\r\nperhaps not all of it");
+    wire.socket.close();
+  });
+  EXPECT_EQ(UnsafeStatus(upstream.address(), 5000), 502U);
+}
+
+TEST(Spoilt, InterimAnswersWithoutEndHaveFailed) {
+  std::string many;
+  for (int i = 0; i < 100; ++i) many += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  EXPECT_EQ(StatusForBytes(many), 502U);
+  EXPECT_EQ(StatusForBytes("HTTP/1.1 101 Switching Protocols\r\n\r\n"), 502U);
+}
+
+// Guards against an answer that is none: the request can't have been read.
+TEST(Spoilt, AnswerBeforeTheLastByteWasWrittenIsNone) {
+  if (TakenUnread() >= 65536) GTEST_SKIP() << "this system takes a whole message that nobody reads";
+  Gate end;
+  Peer peer(
+      [&](Wire& wire, int) {
+        wire.Answer(200, "too early");
+        end.Pass();
+      },
+      true);
+  EXPECT_EQ(UnsafeStatus(peer.address(), 5000, 65536), 503U);
+  end.Open();
+}
+
+// Bytes that come while a connection is idle must never be read as the next answer, whole or in part.
+TEST(Spoilt, BytesBehindAnAnswerReachNoOtherRequest) {
+  const std::string copy = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+  for (const std::string& stray : {copy, copy.substr(0, 20), std::string("noise")}) {
+    for (const bool later : {false, true}) {
+      Gate answered;
+      Gate strayed;
+      Upstream upstream([&](Wire& wire, const Request& request, int number) {
+        const std::string id(request["X-Request-ID"]);
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id;
+        wire.Write(answer + (number == 0 && !later ? stray : ""));
+        if (number > 0) return;
+        if (later) {
+          answered.Pass();
+          wire.Write(stray);
+        }
+        strayed.Open();
+      });
+      Node node(With(List({Target("u1", upstream.address())})));
+      ASSERT_TRUE(node.Listening());
+      Client client(node.port());
+      const auto first = client.Post("/submit/k", "one", "x");
+      ASSERT_TRUE(first);
+      EXPECT_EQ(first->body(), "one");
+      answered.Open();
+      strayed.Pass();
+      const auto second = client.Post("/submit/k", "two", "x");
+      ASSERT_TRUE(second);
+      EXPECT_EQ(second->body(), "two");
+      EXPECT_EQ(upstream.connections(), 2);
+    }
+  }
+}
+
+TEST(Spoilt, LoadReportThatCannotBeReadLeavesTheAnswerGood) {
+  for (const char* report :
+       {"inflight=nan", "inflight=inf,queue=2", "util=-1", "queue=1e300", "inflight=", "=,=,"}) {
+    Upstream upstream([&](Wire& wire, const Request&, int) {
+      wire.Answer(200, "good", "X-Server-Load: " + std::string(report) + "\r\n");
+    });
+    EXPECT_EQ(UnsafeStatus(upstream.address(), 5000), 200U) << report;
+  }
+}
+
 // ---- Pools ----
 
 TEST(Pool, ConnectionClosedByTheUpstreamIsNotUsedAgain) {
@@ -368,6 +461,124 @@
   EXPECT_EQ(response->result_int(), 200U);
 }
 
+// Sends these bytes on a connection of its own; the status it is answered with, 0 where it is closed without
+// one. What is behind the answer is the end of the connection.
+unsigned StatusAndClose(Node& node, const std::string& bytes) {
+  Client client(node.port());
+  client.Send(bytes);
+  const auto response = client.Read();
+  EXPECT_FALSE(client.Read()) << bytes.substr(0, 200);
+  return response ? response->result_int() : 0;
+}
+
+// Guards against a request hidden in another's body, and one that is repeated against its class: each of
+// these is turned away, and what follows on its connection is not looked at.
+TEST(Application, RequestsThatMustNotPassEndTheirConnection) {
+  Upstream upstream(Upstream::Echo("u"));
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  const std::string next = GetText("/page/hidden", "h1");
+  const auto post = [&](const std::string& headers, const std::string& body,
+                        const std::string& target = "/submit/k") {
+    return "POST " + target + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n" + headers +
+           "\r\n" + body + next;
+  };
+  const std::string length = "Content-Length: 5\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string chunks = "0\r\n\r\n";
+  const auto get = [&](const std::string& headers) {
+    return "GET /page/k HTTP/1.1\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n" + headers + "\r\n" + next;
+  };
+  const std::vector<std::string> cases = {
+      post(length + chunked, chunks),
+      post(chunked + length, chunks),
+      post("content-length: 5\r\nTRANSFER-ENCODING: Chunked\r\n", chunks),
+      post(chunked + "Content-Length: 0\r\n", chunks),
+      post(chunked + chunked, chunks),
+      post(length + "Transfer-Encoding: gzip\r\n", "12345"),
+      post(length + "Transfer-Encoding:\r\n", "12345"),
+      post(length + "Transfer-Encoding: identity\r\n", "12345"),
+      post("Transfer-Encoding: gzip\r\n", ""),
+      post("Transfer-Encoding: gzip, chunked\r\n", chunks),
+      post("Transfer-Encoding: chunked, gzip\r\n", chunks),
+      post("Transfer-Encoding: xchunked\r\n", chunks),
+      post("Transfer-Encoding: \"chunked\"\r\n", chunks),
+      post("Transfer-Encoding:\r\n chunked\r\n", chunks),
+      post("Transfer-Encoding : chunked\r\n", chunks),
+      post(chunked, "0\r\nContent-Length: 5\r\n\r\n"),
+      post(chunked, "zz\r\n"),
+      post(length + length, "12345"),
+      post(length + "Content-Length: 6\r\n", "12345"),
+      post("Content-Length: 5, 5\r\n", "12345"),
+      post("Content-Length: +5\r\n", "12345"),
+      post("Content-Length: -5\r\n", "12345"),
+      post("Content-Length: 0x5\r\n", "12345"),
+      post("Content-Length: 5 5\r\n", "12345"),
+      post("Content-Length:\r\n", "12345"),
+      post("Content-Length: 99999999999999999999999\r\n", "12345"),
+      post("Content-Length: 18446744073709551617\r\n", "1"),
+      post(length + "X-Folded: a\r\n b\r\n", "12345"),
+      post("Content-Length: 2\r\n", "12345"),
+      "POST /submit/k HTTP/1.1\nX-Request-ID: a1\nX-Timeout-Ms: 1000\nContent-Length: 0\n\n" + next,
+      "POST /submit/k HTTP/1.1\r\nX-Request-ID: a1\nX-Timeout-Ms: 1000\r\nContent-Length: 0\r\n\r\n" + next,
+      get(length) + "12345",
+      get(std::string("X-Nul: a\0b\r\n", 13)),
+      get("Idempotency-Key : x\r\n"),
+      get("Connection: X-Request-ID\r\n"),
+      "GET /page/k HTTP/2.0\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
+      "GET /page/\x80 HTTP/1.1\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
+      "PUT /page/k HTTP/1.1\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
+      "GET /submit/k HTTP/1.1\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
+      post(length, "12345", "/page/k"),
+      post(length, "12345", "/keyed/k"),
+      post(length + "Idempotency-Key: k\r\n", "12345"),
+      post(length + "Idempotency-Key: \r\n", "12345", "/keyed/k"),
+      post(length + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n", "12345", "/keyed/k"),
+      GetText("/page/k", "a1", 2000000000) + next,
+  };
+  for (const std::string& text : cases) {
+    EXPECT_EQ(StatusAndClose(node, text), 400U) << text.substr(0, 200);
+  }
+  EXPECT_TRUE(upstream.requests().empty());
+}
+
+// The deployment's limit is 3 s from connecting, whatever trickles in the meantime.
+TEST(Application, SilentAndStalledClientsAreLetGo) {
+  Node node(With(json::array()));
+  ASSERT_TRUE(node.Listening());
+  Client silent(node.port());
+  Client half(node.port());
+  ASSERT_TRUE(half.Send("GET /page/k HTTP/1.1\r\nX-"));
+  Client body(node.port());
+  ASSERT_TRUE(body.Send("POST /submit/k HTTP/1.1\r\nX-Request-ID: b1\r\nContent-Length: 9\r\n\r\nx"));
+  Client trickling(node.port());
+  ASSERT_TRUE(trickling.Send("GET /page/k HTTP/1.1\r\nX-Slow: "));
+  std::atomic<bool> ended{false};
+  std::thread feeding([&] {
+    while (!ended && trickling.Send("a")) std::this_thread::sleep_for(milliseconds(20));
+  });
+  EXPECT_TRUE(silent.wire.ReadsEnd());
+  for (Client* client : {&half, &body, &trickling}) {
+    const auto response = client->Read();
+    EXPECT_EQ(response ? response->result_int() : 0, 408U);
+  }
+  ended = true;
+  feeding.join();
+}
+
+TEST(Application, CopyThatCrossesTheAnswerDoesNotRunAgain) {
+  Upstream upstream(Upstream::Echo("u"));
+  Node node(With(List({Target("u1", upstream.address())})));
+  ASSERT_TRUE(node.Listening());
+  Client client(node.port());
+  ASSERT_TRUE(client.Post("/submit/k", "same", "x"));
+  Client other(node.port());
+  const auto refused = other.Post("/submit/k", "same", "x");
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->result_int(), 400U);
+  EXPECT_EQ(upstream.requests().size(), 1U);
+}
+
 TEST(Application, IdInFlightIsTurnedAway) {
   Gate asked;
   Gate go;
@@ -679,6 +890,16 @@
   EXPECT_EQ(node.Wait(), 0);
 }
 
+TEST(Process, PlannedStopEndsThoughClientsStall) {
+  Node node(With(json::array()));
+  ASSERT_TRUE(node.Listening());
+  Client half(node.port());
+  ASSERT_TRUE(half.Send("GET /page/k HTTP/1.1\r\nX-"));
+  Client silent(node.port());
+  node.Signal(SIGTERM);
+  EXPECT_EQ(node.Wait(), 0);  // long before the test runner's limit
+}
+
 TEST(Process, BindsTheSameAddressAtOnceAfterAKill) {
   Upstream upstream(Upstream::Echo("u"));
   std::uint16_t port = 0;
@@ -783,6 +1004,28 @@
   }
 }
 
+// More clients than there are descriptors connect and say nothing: usual clients keep their connections.
+TEST(Descriptors, SilentClientsGoBeforeUsualOnes) {
+  Upstream upstream(Upstream::Echo("u"));
+  Node::Options options = With(List({Target("u1", upstream.address())}));
+  options.sockets = 64;
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  std::vector<std::unique_ptr<Client>> usual;
+  for (int i = 0; i < 5; ++i) {
+    usual.push_back(std::make_unique<Client>(node.port()));
+    ASSERT_TRUE(usual.back()->Get("/page/k", "u" + std::to_string(i)));
+  }
+  std::vector<std::unique_ptr<Client>> silent;
+  for (int i = 0; i < 100; ++i) silent.push_back(std::make_unique<Client>(node.port()));
+  for (int i = 0; i < 5; ++i) {
+    const auto response = usual[i]->Get("/page/k", "v" + std::to_string(i));
+    ASSERT_TRUE(response) << i;
+    EXPECT_EQ(response->result_int(), 200U);
+  }
+  for (const auto& client : silent) EXPECT_TRUE(client->wire.ReadsEnd());
+}
+
 TEST(Descriptors, RunningOutOfThemIsSurvived) {
   Upstream upstream(Upstream::Echo("u"));
   Node node(With(List({Target("u1", upstream.address())})));
