Module: calls that are swallowed are no overload; such an upstream keeps a share by what it serves

Now: time-outs count as load and slowness only where the answers themselves take 0.35 of their aim in the mean; beside fast answers they take their own share from the weight, not its third power; retries and copies may be 0.3 of first tries, as copies are what saves such calls.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -84,7 +84,7 @@
 constexpr double kLate = 3;
 // Further attempts after a failure and second copies are at most this share of first tries, saved up to a
 // burst.
-constexpr double kRetryBudget = 0.2;
+constexpr double kRetryBudget = 0.3;
 constexpr double kRetryBurst = 10;
 // So many attempts after a proof that nothing ran are free of it: each may be a connection for a full fleet.
 constexpr std::size_t kFreeRepeats = 2;
@@ -105,6 +105,10 @@
 // Late is what took this share of its aim: a jam must be met before it costs its worth.
 constexpr double kLateFrom = 0.75;
 constexpr double kTooManyLate = 0.15;
+// An upstream under load answers the rest slowly too: a time-out tells of load only where its answers take
+// this share of their aims in the mean. Guards against refusing for one that swallows some calls and has
+// room.
+constexpr double kLoadedShare = 0.35;
 constexpr double kLateSample = 20;
 constexpr double kLimitCut = 0.6;
 constexpr double kLimitGrowth = 0.05;
@@ -224,6 +228,7 @@
     if (!served && !IsFailure(outcome)) return;
     u.calls += 1 - u.calls / kOutcomeMemory;
     u.failures += (served ? 0 : 1) - u.failures / kOutcomeMemory;
+    u.timeouts += (outcome == Outcome::kTimeout ? 1 : 0) - u.timeouts / kOutcomeMemory;
     u.failure_run = served ? 0 : u.failure_run + 1;
     if (!u.ejected && u.failure_run >= LongRun(u, kFailuresToEject)) Eject(u);
     all_calls_ = all_failures_ = 0;
@@ -310,11 +315,16 @@
 
   // The registered weight, less when cold, by what was observed; squared: a slow one is late far more often.
   double Weight(const Upstream& u) const {
-    const double failing = FailureShare(u);
+    const double calls = std::max(u.calls, static_cast<double>(kFailuresToEject));
+    // Time-outs beside fast answers attract no calls: the rest of what it takes it serves.
+    const double swallowed = Loaded(u) ? 0 : u.timeouts / calls;
+    const double failing = FailureShare(u) - swallowed;
     return u.info.weight * Warmth(u) / (Slowness(u) * Slowness(u)) *
-           std::max(0.02, std::pow(1 - failing, kSuccessPower));
+           std::max(0.02, std::pow(1 - failing, kSuccessPower) * (1 - swallowed));
   }
 
+  static bool Loaded(const Upstream& u) { return u.aim_share.value >= kLoadedShare; }
+
   // The usual time of an answer: of a class, and over all.
   Duration UsualTime(std::size_t cls) const {
     return TimeOr(usual_time_[cls], settings_.classes[cls].aim / 4);
@@ -335,11 +345,12 @@
     const auto time = static_cast<double>(elapsed.count());
     if (ProvesNotRun(outcome) || outcome == Outcome::kError || outcome == Outcome::kReset) return;
     const double ratio = std::min(time / static_cast<double>(UsualTime(cls).count()), 2 * kMaxSlowness);
-    // Unanswered so far says that it takes at least as long.
-    if (outcome != Outcome::kServed && ratio < Slowness(u)) return;
+    // Unanswered so far says that it takes at least as long, but where others are answered fast.
+    if (outcome != Outcome::kServed && (ratio < Slowness(u) || !Loaded(u))) return;
     u.slowness.Add(ratio, kSlownessMemory);
     kind_slowness_[u.info.kind].Add(ratio, kUsualMemory);
     if (outcome != Outcome::kServed) return;
+    u.aim_share.Add(time / static_cast<double>(settings_.classes[cls].aim.count()), kSlownessMemory);
     usual_time_[cls].Add(time, kUsualMemory);
     usual_any_.Add(time, kUsualMemory);
   }
@@ -709,6 +720,7 @@
   void CountLate(const Request& r, const Upstream& u, Outcome outcome, Duration elapsed) {
     if (!Telling(u) && 2 * telling_weight_ > serving_weight_) return;
     if (outcome != Outcome::kServed && outcome != Outcome::kTimeout && outcome != Outcome::kFull) return;
+    if (outcome == Outcome::kTimeout && !Loaded(u)) return;
     ++timely_or_not_;
     late_ += outcome != Outcome::kServed || elapsed > Scaled(r.cls->aim, kLateFrom);
   }
--- a/src/state.h
+++ b/src/state.h
@@ -68,10 +68,12 @@
   bool on_trial = false;    // one trial at a time
   TimePoint waiting_since;  // while it holds calls: since when it has answered none
   TimePoint full_until;
-  Mean slowness;  // its answers' time against the usual of their class
+  Mean slowness;   // its answers' time against the usual of their class
+  Mean aim_share;  // its answers' time against their aim
   // Its own recent calls, old ones fading.
   double calls = 0;
   double failures = 0;
+  double timeouts = 0;  // of these
   // Connections of this sidecar that wait for a call, and since when the last one does.
   int idle = 0;
   TimePoint idle_since;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -245,6 +245,25 @@
   EXPECT_GT(spread["d"], 0);
 }
 
+// Half of its calls are never answered, the others fast: it has room, and the others can't carry all of its
+// share.
+TEST(SwallowingUpstream, KeepsAShareByWhatItServes) {
+  World w;
+  w.List(4);
+  int at_b = 0;
+  for (int i = 0; i < 400; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    w.now += 10ms;
+    ASSERT_EQ(w.sent.size(), before + 1);
+    const bool b = w.sent[before].upstream == "b";
+    w.Finish(w.sent[before], b && ++at_b % 2 == 0 ? Outcome::kTimeout : Outcome::kServed);
+  }
+  EXPECT_GT(at_b, 400 / 12);
+  EXPECT_LT(at_b, 400 / 5);
+  EXPECT_FALSE(w.Logged("refusing"));
+}
+
 TEST(FullUpstream, IsLeftAloneForAMoment) {
   World w;
   w.List(3);
