--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -319,6 +319,8 @@
       acceptor_.accept(socket, error);
       if (!error) {
         Admit(std::move(socket));
+        // Room for the next is made only once it is there: it would be this one's that had said nothing yet.
+        if (!descriptors_.Room(Descriptors::Side::kClient)) break;
         continue;
       }
       if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) break;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1004,6 +1004,23 @@
   }
 }
 
+// Guards against making room for a client that is not there at the cost of the last one that came.
+TEST(Descriptors, LastOneThatFitsIsServedThoughItTakesAMoment) {
+  Upstream upstream(Upstream::Echo("u"));
+  Node::Options options = With(List({Target("u1", upstream.address())}));
+  options.sockets = 64;
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < 30; ++i) {
+    clients.push_back(std::make_unique<Client>(node.port()));
+    std::this_thread::sleep_for(milliseconds(20));
+    const auto response = clients.back()->Get("/page/k", "l" + std::to_string(i));
+    ASSERT_TRUE(response) << i;
+    EXPECT_EQ(response->result_int(), 200U) << i;
+  }
+}
+
 // More clients than there are descriptors connect and say nothing: usual clients keep their connections.
 TEST(Descriptors, SilentClientsGoBeforeUsualOnes) {
   Upstream upstream(Upstream::Echo("u"));
