Core without a protocol: a dispatcher between fronts and transports, HTTP one user of it

Need: DNS and every later front must pass through the same decision module under the same rules, but the dispatcher, the table of requests and HTTP were one class.

core/ now holds the dispatcher (module, events, actions, timers, request table, memory of keys), membership, descriptors, clock and log, and knows no message: a front hands in a request and gets exactly one Final, a transport tells each attempt's end exactly once (core/exchange.h). http/ is the front with its request rules, the transport and discovery, unchanged in what they accept and send; node/ wires them.

--- a/node/clock.h
+++ b/core/clock.h
@@ -1,4 +1,5 @@
-// The node's one clock: steady, in microseconds; Unix times from outside are converted here and nowhere else.
+// The program's one clock: steady, in microseconds; Unix times from outside are converted here and nowhere
+// else.
 #pragma once
 
 #include <chrono>
--- /dev/null
+++ b/core/dispatcher.cpp
@@ -0,0 +1,206 @@
+#include "core/dispatcher.h"
+
+#include <utility>
+#include <variant>
+
+namespace mothrack {
+namespace {
+
+using kestrellb::AttemptEnded;
+using kestrellb::AttemptId;
+using kestrellb::MembershipUpdate;
+using kestrellb::Outcome;
+using kestrellb::RequestId;
+
+// Keys are never used again by honest clients, so they need no longer memory than a copy that crosses the
+// answer takes.
+constexpr Duration kKeyMemory = std::chrono::seconds(5);
+constexpr std::size_t kMostEndedKeys = 8192;
+
+// Set for as long as events are only queued. Guards the queue against an exception on the way: a flag that
+// stays set would stop the whole node.
+class Busy {
+ public:
+  explicit Busy(bool& flag) : flag_(flag) { flag_ = true; }
+  ~Busy() { flag_ = false; }
+  Busy(const Busy&) = delete;
+  Busy& operator=(const Busy&) = delete;
+
+ private:
+  bool& flag_;
+};
+
+}  // namespace
+
+Dispatcher::Dispatcher(boost::asio::io_context& io, const kestrellb::Settings& settings, std::uint64_t seed,
+                       Transport& transport, Logger& log, OnSubscribe on_subscribe)
+    : settings_(settings),
+      balancer_(settings, seed),
+      transport_(transport),
+      log_(log),
+      on_subscribe_(std::move(on_subscribe)),
+      keys_(kKeyMemory, kMostEndedKeys),
+      timers_(io, [this](std::uint64_t token) { Deliver(kestrellb::TimerFired{token}); }) {}
+
+void Dispatcher::Pump() {
+  {
+    const Busy busy(delivering_);
+    while (!events_.empty()) {
+      const kestrellb::Event next = std::move(events_.front());
+      events_.pop_front();
+      actions_.clear();
+      balancer_.handle(Now(), next, actions_);
+      for (const auto& action : actions_) {
+        std::visit([this](const auto& a) { CarryOut(a); }, action);
+      }
+    }
+  }
+  timers_.Arm();
+}
+
+// The module hears of the list before it hears of attempts that the list ended, and acts on it only when the
+// transport knows it too: else it would send again to what drains, or to what is not known yet.
+void Dispatcher::Apply(MembershipList list) {
+  {
+    const Busy busy(delivering_);
+    if (list.update.kind != MembershipUpdate::Kind::kChanges) {
+      for (const std::string& uid : known_) {
+        if (!list.locations.contains(uid)) list.locations[uid].state = kestrellb::UpstreamState::kGone;
+      }
+    }
+    events_.push_back(std::move(list.update));
+    for (const auto& [uid, location] : list.locations) {
+      if (location.state == kestrellb::UpstreamState::kGone) {
+        known_.erase(uid);
+      } else {
+        known_.insert(uid);
+      }
+      transport_.Apply(uid, location);
+    }
+  }
+  Pump();
+}
+
+void Dispatcher::MembershipFailed() { Deliver(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}}); }
+
+std::optional<RequestId> Dispatcher::Take(NewRequest request) {
+  if (!request.key.empty() && !keys_.Take(request.key, Now())) return std::nullopt;
+  kestrellb::RequestArrived event;
+  event.request = RequestId{++last_request_};
+  event.request_class = request.request_class;
+  event.tenant = request.tenant;
+  event.deadline = request.deadline;
+  event.work = request.work;
+  event.client_retry = request.client_retry;
+  const RequestId id = event.request;
+
+  Pending pending;
+  pending.key = std::move(request.key);
+  pending.message = std::move(request.message);
+  pending.deadline = request.deadline;
+  pending.on_final = std::move(request.on_final);
+  requests_.emplace(id, std::move(pending));
+  Deliver(event);
+  return id;
+}
+
+void Dispatcher::Gone(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || !it->second.on_final) return;
+  it->second.on_final = nullptr;
+  Deliver(kestrellb::RequestGone{id});
+  ForgetIfDone(id);
+}
+
+void Dispatcher::Ended(RequestId id, AttemptId attempt, ExchangeResult result) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  Pending& pending = it->second;
+  --pending.out;
+  pending.last = result.outcome;
+  if (result.outcome == Outcome::kServed) {
+    if (const auto on_final = std::exchange(pending.on_final, nullptr)) {
+      on_final({Final::Kind::kServed, std::move(result.reply), {}, false, Outcome::kServed});
+    }
+  } else {
+    pending.last_reply = std::move(result.reply);
+  }
+  const bool finished = !pending.on_final;
+  Deliver(AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load});
+  ForgetIfDone(id);
+}
+
+void Dispatcher::End(RequestId id, Final final) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  final.last = it->second.last;
+  final.reply = std::move(it->second.last_reply);
+  if (const auto on_final = std::exchange(it->second.on_final, nullptr)) on_final(std::move(final));
+  ForgetIfDone(id);
+}
+
+// While events wait their attempts are still needed: their turn comes with the last of them.
+void Dispatcher::ForgetIfDone(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.on_final || it->second.out > 0) return;
+  if (!it->second.key.empty()) keys_.Ended(std::move(it->second.key), Now());
+  requests_.erase(it);
+}
+
+void Dispatcher::CarryOut(const kestrellb::SendAttempt& action) {
+  const auto it = requests_.find(action.request);
+  if (it == requests_.end()) return;
+  Pending& pending = it->second;
+  const AttemptId attempt{pending.attempts.size()};
+  const ExchangeId exchange{++last_exchange_};
+  pending.attempts.push_back(exchange);
+  ++pending.out;
+  const auto on_end = [this, id = action.request, attempt](ExchangeResult result) {
+    Ended(id, attempt, std::move(result));
+  };
+  // The client left or has its answer: nothing more is sent for it.
+  if (!pending.on_final) return on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
+  transport_.Send(exchange, action.upstream.value, pending.message, action.timeout, on_end);
+}
+
+void Dispatcher::CarryOut(const kestrellb::CancelAttempt& action) {
+  const auto it = requests_.find(action.request);
+  const auto attempt = static_cast<std::size_t>(action.attempt);
+  if (it == requests_.end() || attempt >= it->second.attempts.size()) return;
+  transport_.Cancel(it->second.attempts[attempt]);
+}
+
+void Dispatcher::CarryOut(const kestrellb::Refuse& action) {
+  Final final;
+  final.kind = Final::Kind::kRefused;
+  final.retry_after = action.retry_after;
+  End(action.request, std::move(final));
+}
+
+void Dispatcher::CarryOut(const kestrellb::Fail& action) {
+  const auto it = requests_.find(action.request);
+  if (it == requests_.end()) return;
+  Final final;
+  final.kind = Final::Kind::kFailed;
+  final.late = Now() >= it->second.deadline;
+  End(action.request, std::move(final));
+}
+
+void Dispatcher::CarryOut(const kestrellb::SetTimer& action) { timers_.Set(action.at, action.token); }
+
+void Dispatcher::CarryOut(const kestrellb::SendProbe& action) {
+  transport_.Probe(ExchangeId{++last_exchange_}, action.upstream.value,
+                   [this, upstream = action.upstream](ExchangeResult result) {
+                     Deliver(kestrellb::ProbeEnded{upstream, result.outcome, result.elapsed, result.load});
+                   });
+}
+
+void Dispatcher::CarryOut(const kestrellb::CloseIdle& action) { transport_.CloseIdle(action.upstream.value); }
+
+void Dispatcher::CarryOut(const kestrellb::Subscribe&) {
+  if (on_subscribe_) on_subscribe_();
+}
+
+void Dispatcher::CarryOut(const kestrellb::Log& action) { log_.Line(action.text); }
+
+}  // namespace mothrack
--- /dev/null
+++ b/core/dispatcher.h
@@ -0,0 +1,98 @@
+// Drives one Balancer for one pool of upstreams: its clock, timers and table of requests; turns what happens
+// into events and carries out the actions, in their order. Knows no protocol: see core/exchange.h. Nobody
+// else calls the module, sends an attempt or ends a request.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/exchange.h"
+#include "core/id_memory.h"
+#include "core/log.h"
+#include "core/membership.h"
+#include "core/timers.h"
+#include "kestrellb/balancer.h"
+
+namespace mothrack {
+
+class Dispatcher {
+ public:
+  // Asks the source of membership for news, where the settings say that it is asked.
+  using OnSubscribe = std::function<void()>;
+
+  // `transport` and `log` must outlive it. The membership held comes first, by Apply() with kRestored.
+  Dispatcher(boost::asio::io_context& io, const kestrellb::Settings& settings, std::uint64_t seed,
+             Transport& transport, Logger& log, OnSubscribe on_subscribe = nullptr);
+
+  // Takes a request in; nothing, and no Final, where its key is taken.
+  std::optional<kestrellb::RequestId> Take(NewRequest request);
+  // The client left: no Final is owed any more.
+  void Gone(kestrellb::RequestId id);
+
+  void Apply(MembershipList list);
+  void MembershipFailed();
+
+  const kestrellb::Settings& settings() const { return settings_; }
+  // Requests that wait for their Final, or have attempts out.
+  std::size_t open() const { return requests_.size(); }
+
+ private:
+  struct Pending {
+    std::string key;
+    std::shared_ptr<const Message> message;
+    TimePoint deadline;
+    OnFinal on_final;  // empty once the request has its answer or its client is gone
+    std::vector<ExchangeId> attempts;
+    std::size_t out = 0;  // attempts that have not ended
+    std::optional<kestrellb::Outcome> last;
+    std::unique_ptr<Reply> last_reply;
+  };
+
+  // handle() is never re-entered: an action that ends something at once queues its event here.
+  template <typename E>
+  void Deliver(E&& event) {
+    events_.emplace_back(std::forward<E>(event));
+    if (!delivering_) Pump();
+  }
+  void Pump();
+  void Ended(kestrellb::RequestId id, kestrellb::AttemptId attempt, ExchangeResult result);
+  void End(kestrellb::RequestId id, Final final);
+  void ForgetIfDone(kestrellb::RequestId id);
+
+  void CarryOut(const kestrellb::SendAttempt& action);
+  void CarryOut(const kestrellb::CancelAttempt& action);
+  void CarryOut(const kestrellb::Refuse& action);
+  void CarryOut(const kestrellb::Fail& action);
+  void CarryOut(const kestrellb::SetTimer& action);
+  void CarryOut(const kestrellb::SendProbe& action);
+  void CarryOut(const kestrellb::CloseIdle& action);
+  void CarryOut(const kestrellb::Subscribe& action);
+  void CarryOut(const kestrellb::Log& action);
+
+  const kestrellb::Settings settings_;
+  kestrellb::Balancer balancer_;
+  Transport& transport_;
+  Logger& log_;
+  const OnSubscribe on_subscribe_;
+  std::deque<kestrellb::Event> events_;
+  std::vector<kestrellb::Action> actions_;
+  bool delivering_ = false;
+  std::unordered_map<kestrellb::RequestId, Pending> requests_;
+  std::set<std::string> known_;  // upstreams that were told and are not gone
+  IdMemory keys_;
+  std::uint64_t last_request_ = 0;
+  std::uint64_t last_exchange_ = 0;
+  Timers timers_;
+};
+
+}  // namespace mothrack
--- /dev/null
+++ b/core/exchange.h
@@ -0,0 +1,89 @@
+// The seam between the dispatcher and a protocol. A *front* takes requests from clients and hands them in;
+// each gets exactly one Final. A *transport* carries attempts and probes to upstreams; each ends with exactly
+// one call of its OnEnd. The dispatcher between them looks into no message: what a front of one protocol
+// makes only the transport of the same protocol reads, and the other way round for replies.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/clock.h"
+#include "core/membership.h"
+#include "kestrellb/balancer.h"
+
+namespace mothrack {
+
+// A request as it is sent to upstreams; shared by its attempts, which read it only.
+class Message {
+ public:
+  virtual ~Message() = default;
+};
+
+// What an upstream answered.
+class Reply {
+ public:
+  virtual ~Reply() = default;
+};
+
+// How a request ended, told to its front once.
+struct Final {
+  enum class Kind {
+    kServed,   // `reply` is the answer
+    kRefused,  // nothing was done, or doing it again is harmless
+    kFailed,   // no promise whether it took effect
+  };
+  Kind kind = Kind::kFailed;
+  // Of a request that was not served: what the last attempt got, where that is an answer of its own that says
+  // more than the front could.
+  std::unique_ptr<Reply> reply;
+  Duration retry_after{};                  // of a refusal; zero: no advice
+  bool late = false;                       // of a failure: the request's time is over
+  std::optional<kestrellb::Outcome> last;  // of the attempt that ended last; absent where none did
+};
+using OnFinal = std::function<void(Final)>;
+
+struct NewRequest {
+  kestrellb::ClassId request_class{};
+  std::optional<kestrellb::TenantId> tenant{};
+  TimePoint deadline{};
+  std::optional<Duration> work{};
+  bool client_retry = false;
+  // The name under which the request must not come again, open or ended a short while ago; empty: none.
+  std::string key{};
+  std::shared_ptr<const Message> message;
+  OnFinal on_final;  // may be called before the request is taken in
+};
+
+// One attempt or probe on its way; the dispatcher numbers them, never twice the same.
+enum class ExchangeId : std::uint64_t {};
+
+struct ExchangeResult {
+  kestrellb::Outcome outcome = kestrellb::Outcome::kServed;
+  Duration elapsed{};
+  kestrellb::LoadReport load{};
+  std::unique_ptr<Reply>
+      reply;  // of a served one, and of another where the upstream's answer is worth telling
+};
+
+class Transport {
+ public:
+  using OnEnd = std::function<void(ExchangeResult)>;
+  virtual ~Transport() = default;
+
+  // What membership tells of one upstream. Where it drains, is gone, moved or started anew, nothing that has
+  // not begun to be written to it is written any more: such attempts end as not sent.
+  virtual void Apply(const std::string& uid, const Location& location) = 0;
+  // `on_end` is called exactly once, also where nothing could be sent, perhaps at once. `timeout` counts from
+  // now on and covers all that the attempt takes. Never sends a message twice by itself.
+  virtual void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message,
+                    Duration timeout, OnEnd on_end) = 0;
+  virtual void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) = 0;
+  // Stops waiting; the exchange still ends once. Unknown ids are ignored.
+  virtual void Cancel(ExchangeId id) = 0;
+  virtual void CloseIdle(const std::string& uid) = 0;
+};
+
+}  // namespace mothrack
--- /dev/null
+++ b/core/id_memory.cpp
@@ -0,0 +1,19 @@
+#include "core/id_memory.h"
+
+namespace mothrack {
+
+bool IdMemory::Take(const std::string& name, TimePoint now) {
+  Forget(now);
+  return taken_.insert(name).second;
+}
+
+void IdMemory::Ended(std::string name, TimePoint now) { ended_.emplace_back(now, std::move(name)); }
+
+void IdMemory::Forget(TimePoint now) {
+  while (!ended_.empty() && (ended_.size() > most_ || now - ended_.front().first > memory_)) {
+    taken_.erase(ended_.front().second);
+    ended_.pop_front();
+  }
+}
+
+}  // namespace mothrack
--- /dev/null
+++ b/core/id_memory.h
@@ -0,0 +1,35 @@
+// Names of requests that must not be taken a second time: of those that are open, and of those that ended a
+// short while ago. A second request under the name of one that ended just now is a copy that crossed the
+// answer: it must not run again.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "core/clock.h"
+
+namespace mothrack {
+
+class IdMemory {
+ public:
+  // Ended names are kept for `memory`, at most `most` of them.
+  IdMemory(Duration memory, std::size_t most) : memory_(memory), most_(most) {}
+
+  // False where the name is taken.
+  bool Take(const std::string& name, TimePoint now);
+  // Its request has ended: the name is forgotten in a while.
+  void Ended(std::string name, TimePoint now);
+
+ private:
+  void Forget(TimePoint now);
+
+  const Duration memory_;
+  const std::size_t most_;
+  std::set<std::string, std::less<>> taken_;
+  std::deque<std::pair<TimePoint, std::string>> ended_;
+};
+
+}  // namespace mothrack
--- /dev/null
+++ b/core/membership.h
@@ -0,0 +1,27 @@
+// Which upstreams there are and where: what a source of membership (discovery, the operator's file) tells.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/address.h"
+#include "kestrellb/balancer.h"
+
+namespace mothrack {
+
+// Where an upstream listens, and whether it may be sent anything new.
+struct Location {
+  kestrellb::UpstreamState state = kestrellb::UpstreamState::kServing;
+  Endpoint endpoint;
+  std::int64_t boot_ms = 0;
+};
+
+// What one telling changes: for the module, and for the transport.
+struct MembershipList {
+  std::uint64_t revision = 0;
+  kestrellb::MembershipUpdate update;
+  std::map<std::string, Location> locations;  // by uid, of the same upstreams
+};
+
+}  // namespace mothrack
--- /dev/null
+++ b/core/timers.cpp
@@ -0,0 +1,36 @@
+#include "core/timers.h"
+
+namespace mothrack {
+
+void Timers::Arm() {
+  if (due_) return;  // Due() arms at its end
+  const TimePoint next = queue_.empty() ? TimePoint::max() : queue_.top().first;
+  // One that was armed for earlier fires for nothing and arms anew: cheaper than setting it back each time.
+  if (next >= armed_for_) return;
+  armed_for_ = next;
+  timer_.expires_at(ToSteady(next));
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) Due();
+  });
+}
+
+void Timers::Due() {
+  // Arms for what is left also when a handler throws: a timer that is not armed would stop the whole node.
+  struct Rearm {
+    explicit Rearm(Timers& timers) : timers(timers) { timers.due_ = true; }
+    ~Rearm() {
+      timers.due_ = false;
+      timers.Arm();
+    }
+    Timers& timers;
+  } const rearm(*this);
+  armed_for_ = TimePoint::max();
+  const TimePoint now = Now();
+  while (!queue_.empty() && queue_.top().first <= now) {
+    const std::uint64_t token = queue_.top().second;
+    queue_.pop();
+    on_due_(token);
+  }
+}
+
+}  // namespace mothrack
--- a/node/discovery.cpp
+++ b/http/discovery.cpp
@@ -1,4 +1,4 @@
-#include "discovery.h"
+#include "http/discovery.h"
 
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,7 +11,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "http.h"
+#include "http/messages.h"
 
 namespace mothrack {
 namespace {
@@ -119,7 +119,7 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMostList);
-    // The header on its own first, or the bound on the body does not hold (see upstreams.cpp).
+    // The header on its own first, or the bound on the body does not hold (see transport.cpp).
     http::async_read_header(stream_, buffer_, *parser_,
                             [self = shared_from_this()](error_code error, std::size_t) {
                               if (self->owner_ == nullptr) return;
--- a/node/discovery.h
+++ b/http/discovery.h
@@ -5,28 +5,20 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 
-#include "clock.h"
-#include "config.h"
+#include "core/address.h"
+#include "core/clock.h"
+#include "core/log.h"
+#include "core/membership.h"
 #include "kestrellb/balancer.h"
-#include "log.h"
 #include "nlohmann/json.hpp"
-#include "upstreams.h"
 
 namespace mothrack {
 
-// One answer of discovery.
-struct MembershipList {
-  std::uint64_t revision = 0;
-  kestrellb::MembershipUpdate update;
-  std::map<std::string, Location> locations;
-};
-
-// Throws std::exception, naming what is wrong with the list.
+// One answer of discovery. Throws std::exception, naming what is wrong with the list.
 MembershipList ParseList(const nlohmann::json& body, const UnixClock& clock);
 
 class Discovery {
--- /dev/null
+++ b/http/front.cpp
@@ -0,0 +1,160 @@
+#include "http/front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace mothrack {
+namespace {
+
+using boost::beast::string_view;
+using std::chrono::milliseconds;
+
+// The client's clock started when it sent the request: so much earlier, at least, than it was read here.
+constexpr Duration kTrip = milliseconds(2);
+constexpr std::size_t kLongestId = 128;
+// A client that says it waits longer than this many of its class's deadlines has no idea what it says.
+constexpr int kMostDeadlines = 2;
+
+HttpResponse Plain(http::status status, const std::string& text) {
+  HttpResponse response(status, 11);
+  response.set(http::field::content_type, "text/plain");
+  response.body() = text + "\n";
+  return response;
+}
+
+// For what is no request of this protocol: its connection is closed, too.
+HttpResponse Unfit(const std::string& why) {
+  auto response = Plain(http::status::bad_request, why);
+  response.keep_alive(false);
+  return response;
+}
+
+// The one value of a header; nothing where it is missing or given twice.
+std::optional<string_view> Single(const HttpRequest& request, string_view name) {
+  const auto range = request.equal_range(name);
+  if (range.first == range.second || std::next(range.first) != range.second) return std::nullopt;
+  return range.first->value();
+}
+
+bool Visible(string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
+bool GoodId(string_view id) { return !id.empty() && id.size() <= kLongestId && Visible(id); }
+
+// Does the method tell the same as the class? What contradicts itself could be repeated against its class.
+bool Fits(const HttpRequest& request, kestrellb::Effect effect) {
+  if (effect == kestrellb::Effect::kSafe) {
+    return request.method() == http::verb::get && request.body().empty();
+  }
+  const auto key = Single(request, "Idempotency-Key");
+  const bool keyed = key && GoodId(*key);
+  return request.method() == http::verb::post &&
+         (effect == kestrellb::Effect::kKeyed ? keyed : request.count("Idempotency-Key") == 0);
+}
+
+template <typename T>
+std::optional<T> Whole(string_view text) {
+  T value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+string_view FirstPart(string_view target) {
+  if (target.empty() || target.front() != '/') return {};
+  target.remove_prefix(1);
+  return target.substr(0, target.find_first_of("/?"));
+}
+
+HttpResponse Served(Final& final) {
+  HttpResponse own = std::move(static_cast<HttpReply&>(*final.reply).response);
+  HttpResponse response(http::status::ok, 11);
+  response.base() = std::move(own.base());
+  response.body() = std::move(own.body());
+  response.version(11);
+  RemoveHopByHop(response);
+  return response;
+}
+
+HttpResponse Refused(Duration retry_after) {
+  auto response = Plain(http::status::service_unavailable, "refused: trying again is harmless");
+  if (retry_after > Duration::zero()) {
+    char seconds[32];
+    std::snprintf(seconds, sizeof seconds, "%.3f", std::chrono::duration<double>(retry_after).count());
+    response.set(http::field::retry_after, seconds);
+  }
+  return response;
+}
+
+HttpResponse ToResponse(Final& final) {
+  switch (final.kind) {
+    case Final::Kind::kServed:
+      return Served(final);
+    case Final::Kind::kRefused:
+      return Refused(final.retry_after);
+    case Final::Kind::kFailed:
+      break;
+  }
+  return final.late ? Plain(http::status::gateway_timeout, "no answer in time")
+                    : Plain(http::status::bad_gateway, "upstream failed");
+}
+
+}  // namespace
+
+HttpFront::HttpFront(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors,
+                     Logger& log, Dispatcher& dispatcher)
+    : dispatcher_(dispatcher),
+      listener_(io, endpoint, descriptors, log, [this](HttpRequest request, Listener::Reply reply) {
+        return Take(std::move(request), std::move(reply));
+      }) {
+  const kestrellb::Settings& settings = dispatcher.settings();
+  for (std::size_t i = 0; i < settings.classes.size(); ++i) {
+    classes_.emplace(settings.classes[i].name, kestrellb::ClassId{i});
+  }
+  for (std::size_t i = 0; i < settings.tenants.size(); ++i) {
+    tenants_.emplace(settings.tenants[i].name, kestrellb::TenantId{i});
+  }
+}
+
+Listener::OnGone HttpFront::Take(HttpRequest request, Listener::Reply reply) {
+  const TimePoint now = Now();
+  const auto bad = [&reply](const std::string& why) {
+    reply(Unfit(why));
+    return nullptr;
+  };
+  RemoveHopByHop(request);  // first: `Connection` may name what is checked below
+  if (!Visible(request.target())) return bad("bad target");
+  const auto cls = classes_.find(std::string(FirstPart(request.target())));
+  if (cls == classes_.end()) return bad("unknown class");
+  const auto& known = dispatcher_.settings().classes[static_cast<std::size_t>(cls->second)];
+  if (!Fits(request, known.effect)) return bad("method or Idempotency-Key does not fit the class");
+  const auto wire_id = Single(request, "X-Request-ID");
+  if (!wire_id || !GoodId(*wire_id)) return bad("missing or bad X-Request-ID");
+  const auto timeout_text = Single(request, "X-Timeout-Ms");
+  const auto timeout = timeout_text ? Whole<std::uint32_t>(*timeout_text) : std::nullopt;
+  if (!timeout || *timeout == 0 || milliseconds(*timeout) > kMostDeadlines * known.deadline) {
+    return bad("missing or bad X-Timeout-Ms");
+  }
+
+  NewRequest taken;
+  taken.request_class = cls->second;
+  taken.deadline = now + std::max<Duration>(milliseconds(*timeout) - kTrip, milliseconds(1));
+  if (const auto tenant = tenants_.find(std::string(request["X-Tenant-Id"])); tenant != tenants_.end()) {
+    taken.tenant = tenant->second;
+  }
+  if (const auto cost = Whole<std::uint32_t>(request["X-Cost"])) taken.work = Duration(*cost);
+  taken.client_retry = request["X-Retried"] == "1";
+  taken.key = std::string(*wire_id);  // two requests of one id could not be told apart upstream
+  taken.message = std::make_shared<const HttpMessage>(std::move(request));
+  taken.on_final = [reply](Final final) { reply(ToResponse(final)); };
+  const auto id = dispatcher_.Take(std::move(taken));
+  if (!id) return bad("X-Request-ID is taken");
+  return [this, id = *id] { dispatcher_.Gone(id); };
+}
+
+}  // namespace mothrack
--- /dev/null
+++ b/http/front.h
@@ -0,0 +1,33 @@
+// What makes an HTTP message a request of this protocol: its class, key, tenant and deadline; and the answer
+// that each end of a request is told with.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "core/dispatcher.h"
+#include "http/listener.h"
+
+namespace mothrack {
+
+class HttpFront {
+ public:
+  // Takes requests at once. Throws boost::system::system_error where it can't listen.
+  HttpFront(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors, Logger& log,
+            Dispatcher& dispatcher);
+
+  Endpoint local() const { return listener_.local(); }
+  // A planned stop; `done` is called when all that was taken is answered.
+  void Drain(std::function<void()> done) { listener_.Drain(std::move(done)); }
+
+ private:
+  Listener::OnGone Take(HttpRequest request, Listener::Reply reply);
+
+  Dispatcher& dispatcher_;
+  std::map<std::string, kestrellb::ClassId, std::less<>> classes_;
+  std::map<std::string, kestrellb::TenantId, std::less<>> tenants_;
+  Listener listener_;  // last: it takes requests from here on, and goes first
+};
+
+}  // namespace mothrack
--- a/node/listener.cpp
+++ b/http/listener.cpp
@@ -1,4 +1,4 @@
-#include "listener.h"
+#include "http/listener.h"
 
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
--- a/node/listener.h
+++ b/http/listener.h
@@ -8,11 +8,11 @@
 #include <memory>
 #include <set>
 
-#include "clock.h"
-#include "config.h"
-#include "descriptors.h"
-#include "http.h"
-#include "log.h"
+#include "core/address.h"
+#include "core/clock.h"
+#include "core/descriptors.h"
+#include "core/log.h"
+#include "http/messages.h"
 
 namespace mothrack {
 
--- a/node/http.cpp
+++ b/http/messages.cpp
@@ -1,4 +1,4 @@
-#include "http.h"
+#include "http/messages.h"
 
 #include <algorithm>
 #include <boost/beast/http/rfc7230.hpp>
--- a/node/http.h
+++ b/http/messages.h
@@ -1,4 +1,4 @@
-// The HTTP messages that the parts of the node hand each other, and the bounds on them.
+// The HTTP messages that front and transport hand each other through the dispatcher, and the bounds on them.
 #pragma once
 
 #include <boost/beast/http/fields.hpp>
@@ -7,6 +7,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <utility>
+
+#include "core/exchange.h"
 
 namespace mothrack {
 
@@ -15,6 +18,16 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+struct HttpMessage : Message {
+  explicit HttpMessage(HttpRequest request) : request(std::move(request)) {}
+  HttpRequest request;
+};
+
+struct HttpReply : Reply {
+  explicit HttpReply(HttpResponse response) : response(std::move(response)) {}
+  HttpResponse response;
+};
+
 constexpr std::uint64_t kMostBody = 64 * 1024;
 constexpr std::uint32_t kMostHeader = 16 * 1024;
 // What a connection reads ahead of its parser.
--- a/node/upstreams.cpp
+++ b/http/transport.cpp
@@ -1,4 +1,4 @@
-#include "upstreams.h"
+#include "http/transport.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -93,9 +93,9 @@
 // One connection and what it carries. While it is idle it is only watched: whatever comes then, a close or
 // bytes, retires it, and each request starts with nothing read and nothing parsed. It is its own handlers'
 // owner; Close() makes those that are under way no-ops.
-class Upstreams::Connection : public std::enable_shared_from_this<Connection> {
+class HttpTransport::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(Upstreams& owner, const std::shared_ptr<Pool>& pool)
+  Connection(HttpTransport& owner, const std::shared_ptr<Pool>& pool)
       : owner_(owner),
         pool_(pool),
         slot_(std::in_place, owner.descriptors_, Descriptors::Side::kUpstream),
@@ -112,9 +112,9 @@
     return error;
   }
 
-  void Start(ExchangeId id, std::shared_ptr<const HttpRequest> request, Duration timeout, OnEnd on_end) {
+  void Start(ExchangeId id, std::shared_ptr<const HttpMessage> message, Duration timeout, OnEnd on_end) {
     id_ = id;
-    request_ = std::move(request);
+    request_ = std::shared_ptr<const HttpRequest>(message, &message->request);
     on_end_ = std::move(on_end);
     sent_ = Now();
     gives_up_ = sent_ + timeout;
@@ -245,10 +245,10 @@
   void OnRead(error_code error) {
     if (error) return End(Cause::kBroken);
     HttpResponse response = parser_->release();
-    ExchangeResult result{Classify(response), Now() - sent_, ParseLoad(response["X-Server-Load"]), {}};
+    ExchangeResult result{Classify(response), Now() - sent_, ParseLoad(response["X-Server-Load"]), nullptr};
     // An answer before the request was written out leaves the connection between messages.
     const bool keep = response.keep_alive() && !write_pending_ && buffer_.size() == 0;
-    result.response = std::move(response);
+    if (result.outcome == Outcome::kServed) result.reply = std::make_unique<HttpReply>(std::move(response));
     timer_.cancel();
     phase_ = Phase::kIdle;
     const auto on_end = std::exchange(on_end_, nullptr);
@@ -293,10 +293,10 @@
     const auto on_end = std::exchange(on_end_, nullptr);
     const auto self = shared_from_this();
     owner_.exchanges_.erase(id_);
-    on_end({outcome, Now() - sent_, {}, {}});
+    on_end({outcome, Now() - sent_, {}, nullptr});
   }
 
-  Upstreams& owner_;
+  HttpTransport& owner_;
   std::weak_ptr<Pool> pool_;
   std::optional<Descriptors::Slot> slot_;
   tcp::socket socket_;
@@ -320,8 +320,8 @@
   TimePoint idle_since_;
 };
 
-Upstreams::Upstreams(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
-                     Descriptors& descriptors)
+HttpTransport::HttpTransport(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
+                             Descriptors& descriptors)
     : io_(io),
       connect_timeout_(limits.connect_timeout),
       trusted_idle_(TrustedIdle(limits.idle_close)),
@@ -331,14 +331,14 @@
   ScheduleSweep();
 }
 
-Upstreams::~Upstreams() {
+HttpTransport::~HttpTransport() {
   for (const auto& [id, connection] : exchanges_) connection->Close();
   for (const auto& [uid, pool] : pools_) {
     for (const auto& connection : pool->idle) connection->Close();
   }
 }
 
-void Upstreams::Apply(const std::string& uid, const Location& location) {
+void HttpTransport::Apply(const std::string& uid, const Location& location) {
   auto& pool = pools_[uid];
   if (!pool) pool = std::make_shared<Pool>();
   const Location before = std::exchange(pool->location, location);
@@ -357,13 +357,7 @@
   AbortUnsent(old);
 }
 
-std::vector<std::string> Upstreams::Known() const {
-  std::vector<std::string> known;
-  for (const auto& [uid, pool] : pools_) known.push_back(uid);
-  return known;
-}
-
-void Upstreams::AbortUnsent(const std::shared_ptr<Pool>& pool) {
+void HttpTransport::AbortUnsent(const std::shared_ptr<Pool>& pool) {
   std::vector<std::shared_ptr<Connection>> unsent;
   for (const auto& [id, connection] : exchanges_) {
     if (connection->unsent() && connection->pool() == pool) unsent.push_back(connection);
@@ -371,43 +365,45 @@
   for (const auto& connection : unsent) connection->End(Connection::Cause::kNotSent);
 }
 
-void Upstreams::Send(ExchangeId id, const std::string& uid, std::shared_ptr<const HttpRequest> request,
-                     Duration timeout, OnEnd on_end) {
+void HttpTransport::Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message,
+                         Duration timeout, OnEnd on_end) {
   const auto it = pools_.find(uid);
   std::shared_ptr<Connection> connection;
   if (it != pools_.end() && it->second->location.state == UpstreamState::kServing) {
     connection = TakeIdle(*it->second);
     if (!connection) connection = Open(it->second);
   }
-  if (!connection) return on_end({Outcome::kNotSent, Duration::zero(), {}, {}});
+  if (!connection) return on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
   exchanges_.emplace(id, connection);
-  connection->Start(id, std::move(request), timeout, std::move(on_end));
+  connection->Start(id, std::static_pointer_cast<const HttpMessage>(message), timeout, std::move(on_end));
 }
 
-void Upstreams::Probe(ExchangeId id, const std::string& uid, OnEnd on_end) {
-  const auto request = std::make_shared<HttpRequest>(http::verb::get, probe_target_, 11);
-  request->set(http::field::host, uid);
-  Send(id, uid, request, connect_timeout_,
+void HttpTransport::Probe(ExchangeId id, const std::string& uid, OnEnd on_end) {
+  HttpRequest request(http::verb::get, probe_target_, 11);
+  request.set(http::field::host, uid);
+  Send(id, uid, std::make_shared<HttpMessage>(std::move(request)), connect_timeout_,
        [by_body = probe_target_ != "/alive", on_end = std::move(on_end)](ExchangeResult result) {
-         if (by_body && result.outcome == Outcome::kServed) result.load = ParseLoad(result.response.body());
+         if (by_body && result.outcome == Outcome::kServed) {
+           result.load = ParseLoad(static_cast<const HttpReply&>(*result.reply).response.body());
+         }
          on_end(std::move(result));
        });
 }
 
-void Upstreams::Cancel(ExchangeId id) {
+void HttpTransport::Cancel(ExchangeId id) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
   const auto connection = it->second;
   connection->End(Connection::Cause::kCancelled);
 }
 
-void Upstreams::CloseIdle(const std::string& uid) {
+void HttpTransport::CloseIdle(const std::string& uid) {
   const auto it = pools_.find(uid);
   if (it == pools_.end()) return;
   for (const auto& connection : std::exchange(it->second->idle, {})) connection->Close();
 }
 
-bool Upstreams::EvictIdle() {
+bool HttpTransport::EvictIdle() {
   Pool* longest = nullptr;
   for (const auto& [uid, pool] : pools_) {
     if (pool->idle.empty()) continue;
@@ -421,7 +417,7 @@
   return true;
 }
 
-std::shared_ptr<Upstreams::Connection> Upstreams::TakeIdle(Pool& pool) {
+std::shared_ptr<HttpTransport::Connection> HttpTransport::TakeIdle(Pool& pool) {
   while (!pool.idle.empty()) {
     auto connection = std::move(pool.idle.back());
     pool.idle.pop_back();
@@ -433,7 +429,7 @@
 
 // Idle connections make room; where there is none, the attempt is not sent. That is no failure of the
 // upstream and proves that nothing ran.
-std::shared_ptr<Upstreams::Connection> Upstreams::Open(const std::shared_ptr<Pool>& pool) {
+std::shared_ptr<HttpTransport::Connection> HttpTransport::Open(const std::shared_ptr<Pool>& pool) {
   while (!descriptors_.Room(Descriptors::Side::kUpstream)) {
     if (!EvictIdle()) return nullptr;
   }
@@ -445,19 +441,19 @@
   return nullptr;
 }
 
-void Upstreams::Release(const std::shared_ptr<Connection>& connection) {
+void HttpTransport::Release(const std::shared_ptr<Connection>& connection) {
   const auto pool = connection->pool();
   if (!pool || pool->location.state != UpstreamState::kServing) return connection->Close();
   pool->idle.push_back(connection);
 }
 
-void Upstreams::Forget(const Connection& connection) {
+void HttpTransport::Forget(const Connection& connection) {
   if (const auto pool = connection.pool()) {
     std::erase_if(pool->idle, [&](const auto& other) { return other.get() == &connection; });
   }
 }
 
-void Upstreams::ScheduleSweep() {
+void HttpTransport::ScheduleSweep() {
   sweep_.expires_after(kSweep);
   sweep_.async_wait([this](error_code error) {
     if (error) return;
@@ -468,7 +464,7 @@
 
 // Retires what has been idle nearly as long as the upstream allows: a request written to a connection that is
 // being closed over there ends as a reset, and an unsafe one could not be sent again.
-void Upstreams::Sweep() {
+void HttpTransport::Sweep() {
   const TimePoint now = Now();
   for (const auto& [uid, pool] : pools_) {
     std::erase_if(pool->idle, [&](const auto& connection) {
--- a/node/upstreams.h
+++ b/http/transport.h
@@ -11,50 +11,29 @@
 #include <string>
 #include <vector>
 
-#include "clock.h"
-#include "config.h"
-#include "descriptors.h"
-#include "http.h"
+#include "core/clock.h"
+#include "core/descriptors.h"
+#include "core/exchange.h"
+#include "http/messages.h"
 #include "kestrellb/balancer.h"
 
 namespace mothrack {
 
-// Where an upstream listens, and whether it may be sent anything new.
-struct Location {
-  kestrellb::UpstreamState state = kestrellb::UpstreamState::kServing;
-  Endpoint endpoint;
-  std::int64_t boot_ms = 0;
-};
-
-struct ExchangeResult {
-  kestrellb::Outcome outcome = kestrellb::Outcome::kServed;
-  Duration elapsed{};
-  kestrellb::LoadReport load;
-  HttpResponse response;  // of a served one
-};
-
-class Upstreams {
+class HttpTransport : public Transport {
  public:
-  using OnEnd = std::function<void(ExchangeResult)>;
-  enum class ExchangeId : std::uint64_t {};
-
-  Upstreams(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
-            Descriptors& descriptors);
-  ~Upstreams();
-
-  // What discovery tells of one upstream. Where it drains, is gone, moved or started anew, its idle
-  // connections are closed and what has not begun to be written to it ends as not sent.
-  void Apply(const std::string& uid, const Location& location);
-  std::vector<std::string> Known() const;
+  HttpTransport(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
+                Descriptors& descriptors);
+  ~HttpTransport() override;
 
-  // `on_end` is called exactly once, also where nothing could be sent. `request` is sent with its
-  // X-Timeout-Ms set to the time-out.
-  void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const HttpRequest> request,
-            Duration timeout, OnEnd on_end);
-  void Probe(ExchangeId id, const std::string& uid, OnEnd on_end);
-  // Stops waiting: the connection is closed.
-  void Cancel(ExchangeId id);
-  void CloseIdle(const std::string& uid);
+  // Also closes the idle connections of an upstream that drains, is gone, moved or started anew.
+  void Apply(const std::string& uid, const Location& location) override;
+  // `message` is an HttpMessage; it is sent with its X-Timeout-Ms set to what is left of the time-out.
+  void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration timeout,
+            OnEnd on_end) override;
+  void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override;
+  // The connection is closed.
+  void Cancel(ExchangeId id) override;
+  void CloseIdle(const std::string& uid) override;
 
  private:
   class Connection;
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -3,7 +3,6 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fstream>
 #include <utility>
@@ -81,19 +80,6 @@
 
 }  // namespace
 
-std::optional<Endpoint> ParseEndpoint(const std::string& text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  std::uint16_t port = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-  if (error != std::errc() || stop != end) return std::nullopt;
-  boost::system::error_code bad;
-  const auto address = boost::asio::ip::make_address(text.substr(0, colon), bad);
-  if (bad) return std::nullopt;
-  return Endpoint(address, port);
-}
-
 Config LoadConfig(const std::function<const char*(const char*)>& variable) {
   Config config;
   config.name = Variable(variable, "LB_NAME");
--- a/node/config.h
+++ b/node/config.h
@@ -1,21 +1,18 @@
 // What the deployment tells this sidecar: the LB_* variables and the JSON file, checked.
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <stdexcept>
 #include <string>
 
+#include "core/address.h"
 #include "kestrellb/balancer.h"
 #include "nlohmann/json.hpp"
 
 namespace mothrack {
 
-using Endpoint = boost::asio::ip::tcp::endpoint;
-
 // Something the deployment told makes no sense. The text is one line that names it.
 class ConfigError : public std::runtime_error {
  public:
@@ -32,9 +29,6 @@
   kestrellb::Settings settings;
 };
 
-// `10.0.0.4:9000`; nothing where the text is no such address.
-std::optional<Endpoint> ParseEndpoint(const std::string& text);
-
 // Reads what `variable` (std::getenv's form) and the file it names tell. Throws ConfigError.
 Config LoadConfig(const std::function<const char*(const char*)>& variable);
 
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -9,6 +9,8 @@
 #include <string>
 
 #include "config.h"
+#include "core/descriptors.h"
+#include "core/log.h"
 #include "sidecar.h"
 
 namespace {
@@ -18,14 +20,14 @@
 }
 
 // SIGHUP: a configuration with a fault is logged, and the old one stays.
-void ReloadOnSignal(boost::asio::signal_set& signals, mothrack::Sidecar& sidecar) {
+void ReloadOnSignal(boost::asio::signal_set& signals, mothrack::Sidecar& sidecar, mothrack::Logger& log) {
   signals.async_wait([&](const boost::system::error_code& error, int) {
     if (error) return;
-    ReloadOnSignal(signals, sidecar);
+    ReloadOnSignal(signals, sidecar, log);
     try {
       sidecar.Reconfigure(LoadConfig());
     } catch (const mothrack::ConfigError& e) {
-      sidecar.log().Line(std::string("configuration not taken: ") + e.what());
+      log.Line(std::string("configuration not taken: ") + e.what());
     }
   });
 }
@@ -38,8 +40,10 @@
     boost::asio::io_context io(1);
     boost::asio::signal_set reload(io, SIGHUP);
     const mothrack::Config config = LoadConfig();
-    mothrack::Sidecar sidecar(io, config);
-    ReloadOnSignal(reload, sidecar);
+    mothrack::Logger log(config.name);
+    mothrack::Descriptors descriptors(config.sockets);
+    mothrack::Sidecar sidecar(io, config, descriptors, log);
+    ReloadOnSignal(reload, sidecar, log);
     std::cerr << config.name << ": listening on " << sidecar.local() << std::endl;
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& error, int) {
