--- /dev/null
+++ b/bench/dns_wire.cpp
@@ -0,0 +1,68 @@
+// bench_dns_wire: what reading an answer costs, by the reader of the few fields that a forwarder needs and by
+// ldns, turn about in one run; for the choice in docs/design/dns.md. Built where libldns-dev is installed.
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <vector>
+
+#include "dns/message.h"
+#include "standins/dns_wire.h"
+
+// Last: it redefines `true` and `false`.
+#include <ldns/ldns.h>
+
+namespace {
+
+using namespace mothrack::dns;
+
+template <typename Work>
+double Nanoseconds(int times, const Work& work) {
+  const auto began = std::chrono::steady_clock::now();
+  for (int i = 0; i < times; ++i) work();
+  const std::chrono::duration<double, std::nano> took = std::chrono::steady_clock::now() - began;
+  return took.count() / times;
+}
+
+}  // namespace
+
+int main() {
+  constexpr int kTimes = 50000;
+  constexpr int kRounds = 7;
+  for (const int records : {1, 8, 60}) {
+    mothrack::testing::QuerySpec asked;
+    asked.edns_size = 1232;
+    const Buffer query = mothrack::testing::MakeQuery(asked);
+    mothrack::testing::AnswerSpec spec;
+    spec.records = records;
+    spec.edns_size = 4096;
+    const Buffer answer = mothrack::testing::MakeAnswer(query, spec);
+    std::size_t sum = 0;
+    std::vector<double> own;
+    std::vector<double> library;
+    for (int round = 0; round < kRounds; ++round) {
+      own.push_back(Nanoseconds(kTimes, [&] {
+        Layout layout;
+        if (Read(answer, layout) != Reading::kWhole) return;
+        sum += ForClient(answer, layout, Asked{7, 0, true, false, 1232}, 1232).size();
+      }));
+      library.push_back(Nanoseconds(kTimes, [&] {
+        ldns_pkt* packet = nullptr;
+        if (ldns_wire2pkt(&packet, answer.data(), answer.size()) != LDNS_STATUS_OK) return;
+        ldns_pkt_set_id(packet, 7);
+        ldns_pkt_set_edns_udp_size(packet, 1232);
+        std::uint8_t* wire = nullptr;
+        std::size_t size = 0;
+        if (ldns_pkt2wire(&wire, packet, &size) == LDNS_STATUS_OK) sum += size;
+        std::free(wire);
+        ldns_pkt_free(packet);
+      }));
+    }
+    std::sort(own.begin(), own.end());
+    std::sort(library.begin(), library.end());
+    std::printf("%2d records, %4zu bytes: own %7.0f ns, ldns %7.0f ns, ratio %.1f\n", records, answer.size(),
+                own[kRounds / 2], library[kRounds / 2], library[kRounds / 2] / own[kRounds / 2]);
+    if (sum == 0) return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/bench/floor.cpp
@@ -0,0 +1,155 @@
+// bench_floor udp|stream UPSTREAM_PORT: what carrying messages costs at the least on this machine. One
+// thread, one epoll loop, nothing read of the messages but what relaying needs: over UDP the id, which is
+// changed and changed back, over a stream (HTTP, DNS over TCP) nothing at all. Listens on a free loopback
+// port, and prints it.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <string>
+#include <vector>
+
+namespace {
+
+sockaddr_in Loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(port);
+  return address;
+}
+
+int Open(int type) { return ::socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
+
+void Bind(int fd, std::uint16_t port) {
+  const sockaddr_in address = Loopback(port);
+  if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) std::exit(1);
+}
+
+void PrintPort(int fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  std::printf("%d\n", ntohs(address.sin_port));
+  std::fflush(stdout);
+}
+
+void Watch(int epoll, int fd) {
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = fd;
+  ::epoll_ctl(epoll, EPOLL_CTL_ADD, fd, &event);
+}
+
+int RelayDatagrams(std::uint16_t upstream_port) {
+  struct Open {
+    sockaddr_in client;
+    std::uint16_t id;
+  };
+  std::vector<Open> open(65536);
+  std::uint16_t next = 0;
+  const int front = ::Open(SOCK_DGRAM);
+  Bind(front, 0);
+  const int upstream = ::Open(SOCK_DGRAM);
+  const sockaddr_in to = Loopback(upstream_port);
+  ::connect(upstream, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+  const int epoll = ::epoll_create1(EPOLL_CLOEXEC);
+  Watch(epoll, front);
+  Watch(epoll, upstream);
+  PrintPort(front);
+  std::array<std::uint8_t, 65536> bytes{};
+  while (true) {
+    epoll_event events[16];
+    const int ready = ::epoll_wait(epoll, events, 16, -1);
+    for (int i = 0; i < ready; ++i) {
+      const bool from_client = events[i].data.fd == front;
+      while (true) {
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        const ssize_t got = from_client ? ::recvfrom(front, bytes.data(), bytes.size(), 0,
+                                                     reinterpret_cast<sockaddr*>(&from), &size)
+                                        : ::recv(upstream, bytes.data(), bytes.size(), 0);
+        if (got < 2) break;
+        if (from_client) {
+          const std::uint16_t id = next++;
+          std::memcpy(&open[id].id, bytes.data(), 2);
+          open[id].client = from;
+          std::memcpy(bytes.data(), &id, 2);
+          ::send(upstream, bytes.data(), static_cast<std::size_t>(got), 0);
+        } else {
+          std::uint16_t id = 0;
+          std::memcpy(&id, bytes.data(), 2);
+          std::memcpy(bytes.data(), &open[id].id, 2);
+          ::sendto(front, bytes.data(), static_cast<std::size_t>(got), 0,
+                   reinterpret_cast<const sockaddr*>(&open[id].client), sizeof open[id].client);
+        }
+      }
+    }
+  }
+}
+
+// A connection of its own to the upstream for each client's; all messages here fit the system's buffers.
+int RelayStreams(std::uint16_t upstream_port) {
+  std::vector<int> other(65536, -1);
+  const int listening = ::Open(SOCK_STREAM);
+  Bind(listening, 0);
+  ::listen(listening, 512);
+  const int epoll = ::epoll_create1(EPOLL_CLOEXEC);
+  Watch(epoll, listening);
+  PrintPort(listening);
+  std::array<std::uint8_t, 65536> bytes{};
+  while (true) {
+    epoll_event events[64];
+    const int ready = ::epoll_wait(epoll, events, 64, -1);
+    for (int i = 0; i < ready; ++i) {
+      const int fd = events[i].data.fd;
+      if (fd == listening) {
+        const int client = ::accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (client < 0) continue;
+        const int upstream = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in to = Loopback(upstream_port);
+        ::connect(upstream, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+        ::fcntl(upstream, F_SETFL, O_NONBLOCK);
+        const int on = 1;
+        for (const int s : {client, upstream}) ::setsockopt(s, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        other[static_cast<std::size_t>(client)] = upstream;
+        other[static_cast<std::size_t>(upstream)] = client;
+        Watch(epoll, client);
+        Watch(epoll, upstream);
+        continue;
+      }
+      const int to = other[static_cast<std::size_t>(fd)];
+      if (to < 0) continue;
+      const ssize_t got = ::recv(fd, bytes.data(), bytes.size(), 0);
+      if (got < 0 && errno == EAGAIN) continue;
+      if (got <= 0) {
+        other[static_cast<std::size_t>(fd)] = other[static_cast<std::size_t>(to)] = -1;
+        ::close(fd);
+        ::close(to);
+        continue;
+      }
+      ::send(to, bytes.data(), static_cast<std::size_t>(got), MSG_NOSIGNAL);
+    }
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::fprintf(stderr, "usage: bench_floor udp|stream UPSTREAM_PORT\n");
+    return 2;
+  }
+  const auto port = static_cast<std::uint16_t>(std::atoi(argv[2]));
+  return std::string(argv[1]) == "udp" ? RelayDatagrams(port) : RelayStreams(port);
+}
--- a/core/dispatcher.cpp
+++ b/core/dispatcher.cpp
@@ -118,14 +118,18 @@
   Pending& pending = it->second;
   --pending.out;
   pending.last = result.outcome;
-  if (result.outcome == Outcome::kServed) {
-    if (const auto on_final = std::exchange(pending.on_final, nullptr)) {
-      on_final({Final::Kind::kServed, std::move(result.reply), {}, false, Outcome::kServed});
-    }
-  } else {
+  const bool served = result.outcome == Outcome::kServed;
+  const bool finished = served || !pending.on_final;
+  if (!served) {
     pending.last_reply = std::move(result.reply);
+  } else if (const auto on_final = std::exchange(pending.on_final, nullptr)) {
+    Final final;
+    final.kind = Final::Kind::kServed;
+    final.reply = std::move(result.reply);
+    final.attempts = pending.attempts.size();
+    final.last = Outcome::kServed;
+    on_final(std::move(final));  // may take the next request in: `pending` is not touched any more
   }
-  const bool finished = !pending.on_final;
   Deliver(AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load});
   ForgetIfDone(id);
 }
@@ -133,6 +137,8 @@
 void Dispatcher::End(RequestId id, Final final) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
+  final.late = Now() >= it->second.deadline;
+  final.attempts = it->second.attempts.size();
   final.last = it->second.last;
   final.reply = std::move(it->second.last_reply);
   if (const auto on_final = std::exchange(it->second.on_final, nullptr)) on_final(std::move(final));
@@ -178,11 +184,8 @@
 }
 
 void Dispatcher::CarryOut(const kestrellb::Fail& action) {
-  const auto it = requests_.find(action.request);
-  if (it == requests_.end()) return;
   Final final;
   final.kind = Final::Kind::kFailed;
-  final.late = Now() >= it->second.deadline;
   End(action.request, std::move(final));
 }
 
--- a/core/exchange.h
+++ b/core/exchange.h
@@ -4,6 +4,7 @@
 // makes only the transport of the same protocol reads, and the other way round for replies.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -40,7 +41,8 @@
   // more than the front could.
   std::unique_ptr<Reply> reply;
   Duration retry_after{};                  // of a refusal; zero: no advice
-  bool late = false;                       // of a failure: the request's time is over
+  bool late = false;         // the request's time is over
+  std::size_t attempts = 0;  // made so far; some may still be out
   std::optional<kestrellb::Outcome> last;  // of the attempt that ended last; absent where none did
 };
 using OnFinal = std::function<void(Final)>;
--- /dev/null
+++ b/dns/attempt.cpp
@@ -0,0 +1,33 @@
+#include "dns/attempt.h"
+
+#include <algorithm>
+
+namespace mothrack::dns {
+
+Attempt* Match(const OpenIds& open, Bytes message, Layout& layout, Counters& counters) {
+  const auto unmatched = [&counters] {
+    ++counters.unmatched;
+    return nullptr;
+  };
+  if (message.size() < kHeaderSize) return unmatched();
+  const auto id = static_cast<std::uint16_t>(message[0] << 8 | message[1]);
+  Attempt* attempt = open.Find(id);
+  if (attempt == nullptr) return unmatched();
+  const Query& query = *attempt->query;
+  const Bytes asked = Bytes(query.wire).subspan(kHeaderSize, query.question_end - kHeaderSize);
+  const Reading reading = Read(message, layout);
+  if (!layout.response() || layout.opcode() != query.opcode) return unmatched();
+  // Only an UPDATE's answer may leave its zone out (RFC 2136 section 3.8). Case counts: it was sent as asked.
+  const bool bare = layout.questions == 0 && query.opcode == kUpdate;
+  if (!bare) {
+    if (layout.questions != 1 || layout.question_end - kHeaderSize != asked.size()) return unmatched();
+    if (!std::equal(asked.begin(), asked.end(), message.begin() + kHeaderSize)) return unmatched();
+  }
+  if (reading != Reading::kWhole) {
+    ++counters.garbled;
+    return nullptr;
+  }
+  return attempt;
+}
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/attempt.h
@@ -0,0 +1,77 @@
+// One attempt on its way to a resolver, and the ids under which the open ones of a socket are known.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "core/clock.h"
+#include "core/exchange.h"
+#include "core/random.h"
+#include "dns/query.h"
+
+namespace mothrack::dns {
+
+struct Resolver;
+class UdpPort;
+class TcpLink;
+
+struct Attempt {
+  ExchangeId id{};
+  std::shared_ptr<Resolver> resolver;
+  std::shared_ptr<const Query> query;
+  Transport::OnEnd on_end;
+  TimePoint sent;
+  TimePoint gives_up;
+  std::uint16_t wire_id = 0;
+  // One of these, while it is out.
+  std::shared_ptr<UdpPort> port;
+  std::shared_ptr<TcpLink> link;
+  bool written = false;  // its last byte, to a TCP connection
+  // What came over UDP before it was moved to TCP.
+  std::unique_ptr<Answer> truncated;
+};
+
+// Whoever carries attempts tells their owner through this. Each call may end attempts, and with that close
+// the one who calls.
+class CarrierEvents {
+ public:
+  // A whole message that fits the attempt (RFC 5452 section 9.1: address and port by the socket, id,
+  // question).
+  virtual void OnAnswer(Attempt& attempt, Bytes message, const Layout& layout) = 0;
+  // The resolver's port is closed.
+  virtual void OnUnreachable(UdpPort& port) = 0;
+  // The connection is gone, or never came up.
+  virtual void OnBroken(TcpLink& link) = 0;
+
+ protected:
+  ~CarrierEvents() = default;
+};
+
+class OpenIds {
+ public:
+  // Gives it an id of its own that nobody can foresee. There must be fewer than half of all ids open.
+  void Add(Attempt& attempt, Unpredictable& random) {
+    do attempt.wire_id = random.Next16();
+    while (!open_.try_emplace(attempt.wire_id, &attempt).second);
+  }
+  Attempt* Find(std::uint16_t id) const {
+    const auto it = open_.find(id);
+    return it == open_.end() ? nullptr : it->second;
+  }
+  void Remove(std::uint16_t id) { open_.erase(id); }
+  std::size_t size() const { return open_.size(); }
+  std::vector<Attempt*> All() const {
+    std::vector<Attempt*> all;
+    for (const auto& [id, attempt] : open_) all.push_back(attempt);
+    return all;
+  }
+
+ private:
+  std::unordered_map<std::uint16_t, Attempt*> open_;
+};
+
+// The open attempt that a message from its resolver answers; counts what answers none. `layout` is filled in.
+Attempt* Match(const OpenIds& open, Bytes message, Layout& layout, Counters& counters);
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/service.cpp
@@ -0,0 +1,18 @@
+#include "dns/service.h"
+
+namespace mothrack::dns {
+
+Service::Service(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed,
+                 Descriptors& descriptors, Logger& log)
+    : settings_(settings),
+      transport_(io, settings_, descriptors, counters_),
+      dispatcher_(io, ModuleSettings(settings_), seed, transport_, log),
+      front_(io, settings_, descriptors, log, dispatcher_, counters_) {
+  MembershipList list = Resolvers(settings_);
+  list.update.kind = kestrellb::MembershipUpdate::Kind::kRestored;
+  dispatcher_.Apply(std::move(list));
+}
+
+void Service::Follow(const Settings& settings) { dispatcher_.Apply(Resolvers(settings)); }
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/service.h
@@ -0,0 +1,41 @@
+// DNS as one sidecar carries it: front, dispatcher and transport of one pool of resolvers.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "core/descriptors.h"
+#include "core/dispatcher.h"
+#include "core/log.h"
+#include "dns/front.h"
+#include "dns/query.h"
+#include "dns/settings.h"
+#include "dns/transport.h"
+
+namespace mothrack::dns {
+
+class Service {
+ public:
+  // Takes queries at once. Throws boost::system::system_error where it can't listen.
+  Service(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed, Descriptors& descriptors,
+          Logger& log);
+
+  std::vector<Endpoint> local() const { return front_.local(); }
+  // Takes over the list of resolvers; nothing else of `settings`.
+  void Follow(const Settings& settings);
+  // A planned stop; `done` is called when all that was taken is answered.
+  void Drain(std::function<void()> done) { front_.Drain(std::move(done)); }
+  std::string Account() const { return counters_.Line(); }
+
+ private:
+  const Settings settings_;
+  Counters counters_;
+  Transport transport_;
+  Dispatcher dispatcher_;
+  Front front_;  // last: it takes queries from here on, and goes first
+};
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/settings.cpp
@@ -0,0 +1,69 @@
+#include "dns/settings.h"
+
+#include <algorithm>
+
+namespace mothrack::dns {
+
+using std::chrono::milliseconds;
+
+std::vector<ClassSettings> DefaultClasses() {
+  // Stub resolvers give up after 5 s. An answer after its aim is still worth having: attempts are not given
+  // up there, a second copy goes elsewhere.
+  return {
+      {"query", kQuery, {}, milliseconds(1000), milliseconds(4000), kestrellb::Effect::kSafe, 1, 0.5},
+      {"update", kUpdate, {}, milliseconds(2000), milliseconds(4500), kestrellb::Effect::kUnsafe, 5, 0.5},
+      {"notify", kNotify, {}, milliseconds(2000), milliseconds(4000), kestrellb::Effect::kSafe, 1, 0.5},
+  };
+}
+
+const ClassSettings* Classifier::Find(std::uint8_t opcode, std::uint16_t qtype,
+                                      kestrellb::ClassId& id) const {
+  for (std::size_t i = 0; i < classes_.size(); ++i) {
+    const ClassSettings& c = classes_[i];
+    if (c.opcode != opcode) continue;
+    if (!c.qtypes.empty() && std::find(c.qtypes.begin(), c.qtypes.end(), qtype) == c.qtypes.end()) continue;
+    id = kestrellb::ClassId{i};
+    return &c;
+  }
+  return nullptr;
+}
+
+kestrellb::Settings ModuleSettings(const Settings& settings) {
+  kestrellb::Settings out;
+  for (const ClassSettings& c : settings.classes) {
+    kestrellb::RequestClass known;
+    known.name = c.name;
+    known.aim = c.aim;
+    known.deadline = c.deadline;
+    known.effect = c.effect;
+    known.worth = c.worth;
+    known.late_worth = c.late_worth;
+    out.classes.push_back(std::move(known));
+  }
+  out.limits.max_attempts = settings.max_attempts;
+  out.limits.second_copies = true;
+  out.limits.cancel = true;
+  out.limits.probes = false;       // trials of real queries bring a resolver back
+  out.limits.retry_after = false;  // DNS has no word for it
+  out.limits.connect_timeout = settings.connect_timeout;
+  out.limits.idle_close = settings.resolver_idle;
+  out.limits.streams = settings.max_open_per_connection;
+  return out;
+}
+
+MembershipList Resolvers(const Settings& settings) {
+  MembershipList list;
+  list.update.kind = kestrellb::MembershipUpdate::Kind::kFull;
+  for (const ResolverSettings& r : settings.resolvers) {
+    kestrellb::UpstreamInfo info;
+    info.id.value = r.uid;
+    info.zone = r.zone;
+    info.weight = r.weight;
+    info.state = r.leaving ? kestrellb::UpstreamState::kDraining : kestrellb::UpstreamState::kServing;
+    list.locations[r.uid] = Location{info.state, r.endpoint, 0};
+    list.update.upstreams.push_back(std::move(info));
+  }
+  return list;
+}
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/settings.h
@@ -0,0 +1,79 @@
+// What the operator's file says of DNS, with the defaults, and what of it the decision module is told.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/address.h"
+#include "core/clock.h"
+#include "core/membership.h"
+#include "dns/message.h"
+#include "kestrellb/balancer.h"
+
+namespace mothrack::dns {
+
+struct ResolverSettings {
+  std::string uid;
+  Endpoint endpoint;  // over UDP and TCP
+  bool leaving = false;
+  std::string zone{};
+  double weight = 1;
+};
+
+// Messages of this opcode, and of one of these types where any are given, are of this class. The first that
+// fits counts.
+struct ClassSettings {
+  std::string name;
+  std::uint8_t opcode = kQuery;
+  std::vector<std::uint16_t> qtypes{};
+  Duration aim{};
+  Duration deadline{};
+  kestrellb::Effect effect = kestrellb::Effect::kSafe;
+  double worth = 1;
+  double late_worth = 0;  // share of the worth that is left for an answer after the aim
+};
+
+// QUERY may be repeated at will. NOTIFY too: it only hints that a zone may have changed (RFC 1996 section 3),
+// and its senders repeat it themselves until it is answered. UPDATE has an effect and no key to tell a repeat
+// by (RFC 2136), so it is unsafe.
+std::vector<ClassSettings> DefaultClasses();
+
+struct Settings {
+  std::vector<Endpoint> listen;  // UDP and TCP, each
+  std::vector<ResolverSettings> resolvers;
+  std::vector<ClassSettings> classes = DefaultClasses();
+
+  // The largest datagram either side is told to send: what crosses nearly every network whole
+  // (https://www.dnsflagday.net/2020/).
+  std::uint16_t edns_size = 1232;
+  std::size_t max_open_queries = 20000;
+  std::size_t max_open_per_client = 10000;    // of one address, over UDP
+  std::size_t max_open_per_connection = 128;  // over TCP; more wait unread
+  std::size_t max_tcp_clients = 64;
+  Duration tcp_first_byte = std::chrono::milliseconds(2500);  // for a message to come whole, and to be taken
+  Duration tcp_idle = std::chrono::seconds(10);
+  Duration update_memory = std::chrono::seconds(30);  // an answered UPDATE's retransmission gets that answer
+
+  std::size_t max_attempts = 3;
+  Duration connect_timeout = std::chrono::milliseconds(250);
+  std::size_t udp_ports = 16;                        // sockets to each resolver that attempts are spread over
+  std::size_t tcp_connections = 4;                   // to each resolver
+  Duration resolver_idle = std::chrono::seconds(5);  // an idle connection to a resolver is closed then
+};
+
+// The class of a message; its index in Settings::classes. Nothing where none fits.
+class Classifier {
+ public:
+  explicit Classifier(const std::vector<ClassSettings>& classes) : classes_(classes) {}
+  const ClassSettings* Find(std::uint8_t opcode, std::uint16_t qtype, kestrellb::ClassId& id) const;
+
+ private:
+  const std::vector<ClassSettings>& classes_;
+};
+
+kestrellb::Settings ModuleSettings(const Settings& settings);
+MembershipList Resolvers(const Settings& settings);
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/tcp_link.cpp
@@ -0,0 +1,195 @@
+#include "dns/tcp_link.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/post.hpp>
+
+namespace mothrack::dns {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+// Answers of queries that were given up: a connection that owes more of them is not used any further.
+constexpr std::size_t kMostAbandoned = 64;
+constexpr std::size_t kReadSize = 16 * 1024;
+
+}  // namespace
+
+TcpLink::TcpLink(boost::asio::io_context& io, Descriptors& descriptors, CarrierEvents& events,
+                 Counters& counters)
+    : socket_(io),
+      timer_(io),
+      slot_(std::in_place, descriptors, Descriptors::Side::kUpstream),
+      events_(events),
+      counters_(counters),
+      idle_since_(Now()) {}
+
+bool TcpLink::Open(const Endpoint& resolver, Duration connect_timeout) {
+  error_code error;
+  socket_.open(resolver.protocol(), error);
+  if (!error) socket_.set_option(tcp::no_delay(true), error);
+  if (!error) socket_.non_blocking(true, error);
+  if (error) {
+    Close();
+    return false;
+  }
+  timer_.expires_after(connect_timeout);
+  timer_.async_wait([self = shared_from_this()](error_code late) {
+    if (!late && !self->closed_ && !self->connected_) self->Break();
+  });
+  socket_.async_connect(resolver, [self = shared_from_this()](error_code failed) {
+    if (self->closed_) return;
+    if (failed) return self->Break();
+    self->connected_ = true;
+    self->timer_.cancel();
+    self->Wait();
+    self->Flush();
+  });
+  return true;
+}
+
+void TcpLink::Close() {
+  if (closed_) return;
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+  slot_.reset();
+  timer_.cancel();
+}
+
+void TcpLink::Send(Attempt& attempt, Unpredictable& random) {
+  // An id whose answer may still come must not be given to another.
+  open_.Add(attempt, random);
+  while (abandoned_.contains(attempt.wire_id)) {
+    open_.Remove(attempt.wire_id);
+    open_.Add(attempt, random);
+  }
+  Frame frame;
+  AddFrame(frame.bytes, attempt.query->wire);
+  SetId(std::span(frame.bytes).subspan(2), attempt.wire_id);
+  frame.attempt = &attempt;
+  attempt.written = false;
+  frames_.push_back(std::move(frame));
+  if (connected_) Flush();
+}
+
+void TcpLink::Forget(const Attempt& attempt) {
+  open_.Remove(attempt.wire_id);
+  const auto it = std::find_if(frames_.begin(), frames_.end(),
+                               [&attempt](const Frame& frame) { return frame.attempt == &attempt; });
+  if (it != frames_.end() && (it != frames_.begin() || front_written_ == 0)) {
+    frames_.erase(it);
+  } else {
+    if (it != frames_.end()) it->attempt = nullptr;
+    abandoned_.insert(attempt.wire_id);  // Take() has removed it where this is the answer's doing
+  }
+  if (abandoned_.size() > kMostAbandoned) retired_ = true;
+  CloseIfDone();
+}
+
+std::vector<Attempt*> TcpLink::Unbegun() const {
+  std::vector<Attempt*> unbegun;
+  for (std::size_t i = 0; i < frames_.size(); ++i) {
+    if (frames_[i].attempt != nullptr && (i > 0 || front_written_ == 0))
+      unbegun.push_back(frames_[i].attempt);
+  }
+  return unbegun;
+}
+
+void TcpLink::Retire() {
+  retired_ = true;
+  CloseIfDone();
+}
+
+void TcpLink::CloseIfDone() {
+  if (open_.size() > 0) return;
+  idle_since_ = Now();
+  if (retired_) Close();
+}
+
+bool TcpLink::Takes() {
+  if (closed_ || retired_) return false;
+  if (!connected_ || open_.size() > 0) return true;
+  // The event of its close may not have been delivered yet.
+  std::uint8_t byte = 0;
+  error_code error;
+  socket_.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (error == boost::asio::error::would_block || (!error && !abandoned_.empty())) return true;
+  Close();
+  return false;
+}
+
+void TcpLink::Flush() {
+  if (flushing_ || closed_) return;
+  while (!frames_.empty()) {
+    Frame& frame = frames_.front();
+    error_code error;
+    front_written_ += socket_.write_some(
+        boost::asio::buffer(frame.bytes.data() + front_written_, frame.bytes.size() - front_written_), error);
+    if (error == boost::asio::error::would_block) {
+      flushing_ = true;
+      socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
+        self->flushing_ = false;
+        if (self->closed_) return;
+        if (failed) return self->Break();
+        self->Flush();
+      });
+      return;
+    }
+    if (error) {
+      // Not from here: the one who hands an attempt in is still at it.
+      boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->Break(); });
+      return;
+    }
+    if (front_written_ < frame.bytes.size()) continue;
+    if (frame.attempt != nullptr) frame.attempt->written = true;
+    frames_.pop_front();
+    front_written_ = 0;
+  }
+}
+
+void TcpLink::Break() {
+  if (closed_) return;
+  Close();
+  events_.OnBroken(*this);
+}
+
+void TcpLink::Wait() {
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+    if (self->closed_) return;
+    if (error) return self->Break();
+    self->Receive();
+  });
+}
+
+void TcpLink::Receive() {
+  static thread_local std::array<std::uint8_t, kReadSize> bytes;
+  error_code error;
+  const std::size_t size = socket_.read_some(boost::asio::buffer(bytes), error);
+  read_.Add(Bytes(bytes).first(size));
+  if (error == boost::asio::error::would_block) return Wait();
+  if (error || (open_.size() == 0 && abandoned_.empty())) return Break();
+  Take();
+  if (!closed_) Wait();
+}
+
+void TcpLink::Take() {
+  while (!closed_) {
+    const auto message = read_.Next();
+    if (!message) break;
+    if (message->size() >= 2) {
+      const auto id = static_cast<std::uint16_t>((*message)[0] << 8 | (*message)[1]);
+      if (abandoned_.erase(id) > 0) continue;
+    }
+    Layout layout;
+    Attempt* attempt = Match(open_, *message, layout, counters_);
+    if (attempt == nullptr) continue;
+    const std::uint16_t id = attempt->wire_id;
+    events_.OnAnswer(*attempt, *message, layout);
+    abandoned_.erase(id);
+  }
+  if (!closed_ && read_.empty() && open_.size() == 0) read_.Shrink();
+}
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/tcp_link.h
@@ -0,0 +1,75 @@
+// A TCP connection to one resolver that carries many queries at once and takes the answers in any order
+// (RFC 7766 section 6.2). While it is idle it is watched: whatever comes then, a close or bytes, ends it.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "core/address.h"
+#include "core/descriptors.h"
+#include "dns/attempt.h"
+#include "dns/frames.h"
+
+namespace mothrack::dns {
+
+class TcpLink : public std::enable_shared_from_this<TcpLink> {
+ public:
+  TcpLink(boost::asio::io_context& io, Descriptors& descriptors, CarrierEvents& events, Counters& counters);
+
+  // False where the system has no room for a socket.
+  bool Open(const Endpoint& resolver, Duration connect_timeout);
+  void Close();
+
+  // The attempt is open here until Forget(). It is written once the connection is up.
+  void Send(Attempt& attempt, Unpredictable& random);
+  // Takes it out of the queue, too, where no byte of it was written.
+  void Forget(const Attempt& attempt);
+  // Those of which no byte was written.
+  std::vector<Attempt*> Unbegun() const;
+
+  void Retire();
+
+  // May it take one more? Looks whether the resolver has closed it meanwhile.
+  bool Takes();
+  std::size_t open() const { return open_.size(); }
+  bool closed() const { return closed_; }
+  TimePoint idle_since() const { return idle_since_; }
+  std::vector<Attempt*> attempts() const { return open_.All(); }
+
+ private:
+  struct Frame {
+    Buffer bytes;                // with its length before it
+    Attempt* attempt = nullptr;  // null once forgotten
+  };
+
+  void Flush();
+  void Wait();
+  void Receive();
+  void Take();
+  void Break();
+  void CloseIfDone();
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::optional<Descriptors::Slot> slot_;
+  CarrierEvents& events_;
+  Counters& counters_;
+  OpenIds open_;
+  std::set<std::uint16_t> abandoned_;  // written and given up: their answers may still come
+  std::deque<Frame> frames_;
+  std::size_t front_written_ = 0;  // bytes of the first frame
+  FrameReader read_;
+  TimePoint idle_since_;
+  bool connected_ = false;
+  bool flushing_ = false;
+  bool retired_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/tcp_server.cpp
@@ -0,0 +1,302 @@
+#include "dns/tcp_server.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/socket_base.hpp>
+#include <string>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "dns/frames.h"
+
+namespace mothrack::dns {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr auto kSweep = milliseconds(250);
+constexpr auto kDrainSweep = milliseconds(10);
+constexpr Duration kAcceptPause = milliseconds(20);
+// A connection opened so short a while ago is about to carry a query.
+constexpr Duration kFreshConnection = milliseconds(300);
+constexpr std::size_t kReadSize = 16 * 1024;
+// A client that takes no answers is read no further once so much waits for it.
+constexpr std::size_t kMostUnwritten = 256 * 1024;
+
+}  // namespace
+
+class TcpServer::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(TcpServer& owner, tcp::socket socket, std::uint64_t number)
+      : owner_(&owner),
+        slot_(std::in_place, owner.descriptors_, Descriptors::Side::kClient),
+        socket_(std::move(socket)),
+        since_(Now()) {
+    client_.name = "tcp" + std::to_string(number) + ':';
+  }
+
+  void Start() { Wait(); }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+    slot_.reset();
+    const auto self = shared_from_this();
+    owner_->connections_.erase(self);
+    for (const Front::Handle handle : std::exchange(open_, {})) owner_->front_.Gone(handle);
+  }
+
+  // The server is going: handlers that are still to come must not touch it.
+  void Drop() {
+    closed_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+    slot_.reset();
+  }
+
+  TimePoint since() const { return since_; }
+  // Nothing of a query has come, nothing of an answer is owed.
+  bool Idle() const { return open_.empty() && read_.empty() && unwritten_.empty(); }
+  bool Fresh(TimePoint now) const { return unused_ && now - since_ < kFreshConnection; }
+  // Not even the system holds a byte of a query.
+  bool SparesClose() {
+    error_code error;
+    return Idle() && (socket_.available(error) == 0 || error);
+  }
+
+  void CloseIfOverdue(TimePoint now) {
+    const Settings& settings = owner_->settings_;
+    if (!unwritten_.empty() && now - write_began_ > settings.tcp_first_byte) return Close();
+    const bool partial = !read_.empty() && !Paused();
+    if (partial && now - read_began_ > settings.tcp_first_byte) return Close();
+    if (!Idle()) return;
+    if (now - since_ > (unused_ ? settings.tcp_first_byte : settings.tcp_idle)) Close();
+  }
+
+ private:
+  // Guards against a client that asks for more than it is allowed to have open, or takes no answers.
+  bool Paused() const {
+    return open_.size() >= owner_->settings_.max_open_per_connection || unwritten_.size() > kMostUnwritten;
+  }
+
+  void Wait() {
+    if (waiting_ || closed_ || ended_ || broken_ || Paused()) return;
+    waiting_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+      self->waiting_ = false;
+      if (self->closed_) return;
+      if (error) return self->Close();
+      self->Receive();
+    });
+  }
+
+  void Receive() {
+    static thread_local std::array<std::uint8_t, kReadSize> bytes;
+    error_code error;
+    const std::size_t size = socket_.read_some(boost::asio::buffer(bytes), error);
+    if (error == boost::asio::error::would_block) return Wait();
+    if (error == boost::asio::error::eof) {
+      // It may have closed its sending side only: what it asked is answered first.
+      ended_ = true;
+      if (open_.empty() && unwritten_.empty()) return Close();
+      return;
+    }
+    if (error) return Close();
+    if (read_.empty()) read_began_ = Now();
+    read_.Add(Bytes(bytes).first(size));
+    Take();
+    Wait();
+  }
+
+  void Take() {
+    if (taking_) return;  // an answer that came at once
+    taking_ = true;
+    while (!closed_ && !broken_ && !Paused()) {
+      const auto message = read_.Next();
+      if (!message) break;
+      unused_ = false;
+      read_began_ = Now();
+      // Whoever frames what is no message can't be followed any further.
+      broken_ = message->size() < kHeaderSize;
+      const auto slot = std::make_shared<Front::Handle>(nullptr);
+      const auto handle =
+          owner_->front_.Take(*message, client_, [self = shared_from_this(), slot](Buffer answer) {
+            if (self->closed_) return;
+            self->open_.erase(*slot);
+            self->Answer(answer);
+          });
+      if (handle != nullptr) {
+        *slot = handle;
+        open_.insert(handle);
+      }
+    }
+    taking_ = false;
+    if (closed_) return;
+    if (read_.empty()) read_.Shrink();
+    if (broken_ && open_.empty() && unwritten_.empty()) Close();
+  }
+
+  void Answer(const Buffer& answer) {
+    if (unwritten_.empty()) write_began_ = Now();
+    AddFrame(unwritten_, answer);
+    since_ = Now();
+    Flush();
+  }
+
+  void Flush() {
+    if (flushing_ || closed_) return;
+    error_code error;
+    const std::size_t size = socket_.write_some(boost::asio::buffer(unwritten_), error);
+    if (error && error != boost::asio::error::would_block) return Close();
+    if (size > 0) write_began_ = Now();
+    unwritten_.erase(unwritten_.begin(), unwritten_.begin() + static_cast<std::ptrdiff_t>(size));
+    if (!unwritten_.empty()) {
+      flushing_ = true;
+      socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
+        self->flushing_ = false;
+        if (self->closed_) return;
+        if (failed) return self->Close();
+        self->Flush();
+      });
+      return;
+    }
+    if (open_.empty() && (ended_ || broken_) && !taking_) return Close();
+    if (!taking_ && !read_.empty()) Take();
+    Wait();
+  }
+
+  TcpServer* owner_;
+  std::optional<Descriptors::Slot> slot_;
+  tcp::socket socket_;
+  Front::Client client_;
+  std::unordered_set<Front::Handle> open_;
+  FrameReader read_;
+  Buffer unwritten_;
+  TimePoint since_;  // of the connection, or of its last answer
+  TimePoint read_began_;
+  TimePoint write_began_;  // or went on
+  bool unused_ = true;
+  bool waiting_ = false;
+  bool flushing_ = false;
+  bool taking_ = false;
+  bool ended_ = false;   // the client sends no more
+  bool broken_ = false;  // nothing more of it is read
+  bool closed_ = false;
+};
+
+TcpServer::TcpServer(boost::asio::io_context& io, const Endpoint& endpoint, const Settings& settings,
+                     Descriptors& descriptors, Front& front, Logger& log)
+    : io_(io),
+      settings_(settings),
+      descriptors_(descriptors),
+      front_(front),
+      log_(log),
+      acceptor_(io),
+      pause_(io),
+      sweep_(io) {
+  acceptor_.open(endpoint.protocol());
+  // A start after a kill must not wait for the former process's connections to be forgotten.
+  acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+  acceptor_.non_blocking(true);
+  Accept();
+  ScheduleSweep();
+}
+
+TcpServer::~TcpServer() {
+  for (const auto& connection : std::exchange(connections_, {})) connection->Drop();
+}
+
+void TcpServer::Drain() {
+  draining_ = true;
+  sweep_.cancel();
+  ScheduleSweep();
+}
+
+void TcpServer::Accept() {
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
+    if (error || !acceptor_.is_open()) return;
+    while (true) {
+      if (!Room()) return AcceptIn(kAcceptPause);
+      tcp::socket socket(io_);
+      acceptor_.accept(socket, error);
+      if (error == boost::asio::error::would_block) break;
+      if (!error) {
+        Admit(std::move(socket));
+      } else if (error != boost::asio::error::connection_aborted) {
+        // Guards against a spin where descriptors or memory ran out: the client stays in the backlog.
+        log_.Line("dns: accept: " + error.message());
+        return AcceptIn(kAcceptPause);
+      }
+    }
+    Accept();
+  });
+}
+
+void TcpServer::AcceptIn(Duration wait) {
+  pause_.expires_after(wait);
+  pause_.async_wait([this](error_code error) {
+    if (!error && acceptor_.is_open()) Accept();
+  });
+}
+
+// Without room the connection that has been idle longest goes.
+bool TcpServer::Room() {
+  while (connections_.size() >= settings_.max_tcp_clients || !descriptors_.Room(Descriptors::Side::kClient)) {
+    std::shared_ptr<Connection> longest;
+    for (const auto& connection : connections_) {
+      if (!connection->SparesClose()) continue;
+      if (!longest || connection->since() < longest->since()) longest = connection;
+    }
+    if (!longest) return false;
+    longest->Close();
+  }
+  return true;
+}
+
+void TcpServer::Admit(tcp::socket socket) {
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  const auto connection = std::make_shared<Connection>(*this, std::move(socket), ++last_connection_);
+  connections_.insert(connection);
+  connection->Start();
+}
+
+void TcpServer::StopAccepting() {
+  if (!acceptor_.is_open()) return;
+  // What waits in the backlog counts as taken.
+  error_code error;
+  while (!error) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) Admit(std::move(socket));
+  }
+  acceptor_.close(error);
+}
+
+void TcpServer::ScheduleSweep() {
+  sweep_.expires_after(draining_ ? kDrainSweep : kSweep);
+  sweep_.async_wait([this](error_code error) {
+    if (error) return;
+    Sweep();
+    ScheduleSweep();
+  });
+}
+
+void TcpServer::Sweep() {
+  const TimePoint now = Now();
+  const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
+  for (const auto& connection : all) {
+    if (draining_ && !connection->Fresh(now) && connection->SparesClose()) connection->Close();
+    connection->CloseIfOverdue(now);
+  }
+}
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/tcp_server.h
@@ -0,0 +1,54 @@
+// One address at which queries come over TCP connections: many at once on each, answered in the order in
+// which the answers come (RFC 7766 section 7).
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <set>
+
+#include "core/address.h"
+#include "core/descriptors.h"
+#include "core/log.h"
+#include "dns/front.h"
+
+namespace mothrack::dns {
+
+class TcpServer {
+ public:
+  // Binds and listens; throws boost::system::system_error.
+  TcpServer(boost::asio::io_context& io, const Endpoint& endpoint, const Settings& settings,
+            Descriptors& descriptors, Front& front, Logger& log);
+  ~TcpServer();
+
+  // From now on connections are closed as they become idle.
+  void Drain();
+  // Takes the connections that wait, and none after them.
+  void StopAccepting();
+  bool done() const { return connections_.empty(); }
+
+ private:
+  class Connection;
+
+  void Accept();
+  void AcceptIn(Duration wait);
+  void Admit(boost::asio::ip::tcp::socket socket);
+  bool Room();
+  void ScheduleSweep();
+  void Sweep();
+
+  boost::asio::io_context& io_;
+  const Settings& settings_;
+  Descriptors& descriptors_;
+  Front& front_;
+  Logger& log_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  boost::asio::steady_timer sweep_;
+  std::set<std::shared_ptr<Connection>> connections_;
+  std::uint64_t last_connection_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/transport.h
@@ -0,0 +1,79 @@
+// Carries attempts to resolvers, over UDP and TCP, and tells what became of each. Ids and ports that nobody
+// can foresee: RFC 5452; truncation: RFC 7766 section 5; what an answer's RCODE says of the attempt: README
+// of this package's operators' page, docs/operators/dns.md.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/deadlines.h"
+#include "core/descriptors.h"
+#include "core/exchange.h"
+#include "dns/attempt.h"
+#include "dns/settings.h"
+
+namespace mothrack::dns {
+
+// One resolver at one place: when it moves, a new one takes its uid.
+struct Resolver {
+  Location location;
+  std::vector<std::shared_ptr<UdpPort>> ports;  // shared ones that take attempts
+  std::vector<std::shared_ptr<TcpLink>> links;
+};
+
+// Whether the resolver's answer ends the matter (kServed), says that it never began (kFull) or that it failed
+// (kError).
+kestrellb::Outcome Judge(Bytes message, const Layout& layout);
+
+class Transport : public mothrack::Transport, private CarrierEvents {
+ public:
+  // `settings` and `counters` must outlive it.
+  Transport(boost::asio::io_context& io, const Settings& settings, Descriptors& descriptors,
+            Counters& counters);
+  ~Transport() override;
+
+  void Apply(const std::string& uid, const Location& location) override;
+  // `message` is a Query. Its truncated answer over UDP is followed over TCP within the same attempt, at the
+  // same resolver and in what is left of its time, where it may be repeated.
+  void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration timeout,
+            OnEnd on_end) override;
+  void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override;
+  void Cancel(ExchangeId id) override;
+  void CloseIdle(const std::string& uid) override;
+
+ private:
+  CarrierEvents& events() { return *this; }
+  void OnAnswer(Attempt& attempt, Bytes message, const Layout& layout) override;
+  void OnUnreachable(UdpPort& port) override;
+  void OnBroken(TcpLink& link) override;
+
+  void SendOverUdp(Attempt& attempt);
+  void SendOverTcp(Attempt& attempt);
+  std::shared_ptr<UdpPort> PickPort(Resolver& resolver, bool exclusive);
+  std::shared_ptr<TcpLink> PickLink(Resolver& resolver);
+  bool MakeRoom();
+  void Expired(ExchangeId id);
+  void End(Attempt& attempt, kestrellb::Outcome outcome, std::unique_ptr<Reply> reply);
+  // Its answer over TCP did not come about.
+  void EndWithoutAnswer(Attempt& attempt, kestrellb::Outcome outcome);
+  void Leave(Attempt& attempt);
+  void ScheduleSweep();
+  void Sweep();
+
+  boost::asio::io_context& io_;
+  const Settings& settings_;
+  Descriptors& descriptors_;
+  Counters& counters_;
+  Unpredictable random_;
+  std::map<std::string, std::shared_ptr<Resolver>> resolvers_;
+  std::unordered_map<ExchangeId, Attempt> attempts_;
+  Deadlines deadlines_;
+  boost::asio::steady_timer sweep_;
+};
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/udp_port.cpp
@@ -0,0 +1,118 @@
+#include "dns/udp_port.h"
+
+#include <array>
+
+namespace mothrack::dns {
+namespace {
+
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+// Read in a row before others get their turn.
+constexpr int kMostInARow = 64;
+
+bool Unreachable(const error_code& error) {
+  return error == boost::asio::error::connection_refused || error == boost::asio::error::host_unreachable ||
+         error == boost::asio::error::network_unreachable;
+}
+
+}  // namespace
+
+UdpPort::UdpPort(boost::asio::io_context& io, Descriptors& descriptors, CarrierEvents& events,
+                 Counters& counters, bool exclusive)
+    : socket_(io),
+      slot_(std::in_place, descriptors, Descriptors::Side::kUpstream),
+      events_(events),
+      counters_(counters),
+      exclusive_(exclusive),
+      idle_since_(Now()) {}
+
+bool UdpPort::Open(const Endpoint& resolver) {
+  error_code error;
+  const udp::endpoint to(resolver.address(), resolver.port());
+  socket_.open(to.protocol(), error);
+  // Bound by connecting: Linux takes a port of its ephemeral range by a random number of its own.
+  if (!error) socket_.connect(to, error);
+  if (!error) socket_.non_blocking(true, error);
+  if (error) {
+    Close();
+    return false;
+  }
+  Wait();
+  return true;
+}
+
+void UdpPort::Close() {
+  if (closed_) return;
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+  slot_.reset();
+}
+
+UdpPort::Sending UdpPort::Send(Attempt& attempt, Unpredictable& random) {
+  open_.Add(attempt, random);
+  // The id goes into a copy: other attempts share the message.
+  static thread_local Buffer datagram;
+  datagram.assign(attempt.query->wire.begin(), attempt.query->wire.end());
+  SetId(datagram, attempt.wire_id);
+  error_code error;
+  socket_.send(boost::asio::buffer(datagram), 0, error);
+  if (Unreachable(error) && open_.size() > 1) {
+    // The error is of an earlier datagram, and this one has not been sent: those are told, then it goes.
+    open_.Remove(attempt.wire_id);
+    events_.OnUnreachable(*this);
+    if (closed_) return Sending::kNotTaken;
+    open_.Add(attempt, random);
+    SetId(datagram, attempt.wire_id);
+  }
+  if (Unreachable(error)) {
+    error.clear();
+    socket_.send(boost::asio::buffer(datagram), 0, error);
+  }
+  if (error) {
+    open_.Remove(attempt.wire_id);
+    return Unreachable(error) ? Sending::kUnreachable : Sending::kNotTaken;
+  }
+  ++uses_;
+  return Sending::kSent;
+}
+
+void UdpPort::Forget(const Attempt& attempt) {
+  open_.Remove(attempt.wire_id);
+  if (open_.size() > 0) return;
+  idle_since_ = Now();
+  if (retired_ || exclusive_) Close();
+}
+
+void UdpPort::Retire() {
+  retired_ = true;
+  if (open_.size() == 0) Close();
+}
+
+void UdpPort::Wait() {
+  socket_.async_wait(udp::socket::wait_read, [self = shared_from_this()](error_code error) {
+    if (error || self->closed_) return;
+    self->Receive();
+  });
+}
+
+void UdpPort::Receive() {
+  static thread_local std::array<std::uint8_t, kMostMessage> datagram;
+  for (int i = 0; i < kMostInARow && !closed_; ++i) {
+    error_code error;
+    const std::size_t size = socket_.receive(boost::asio::buffer(datagram), 0, error);
+    if (error == boost::asio::error::would_block) break;
+    if (error) {
+      if (Unreachable(error)) events_.OnUnreachable(*this);
+      continue;  // the error is gone with being read
+    }
+    Layout layout;
+    const Bytes message(datagram.data(), size);
+    if (Attempt* attempt = Match(open_, message, layout, counters_))
+      events_.OnAnswer(*attempt, message, layout);
+  }
+  if (!closed_) Wait();
+}
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/udp_port.h
@@ -0,0 +1,56 @@
+// A UDP socket that is connected to one resolver from a port that the system picked at random: only datagrams
+// from the resolver's address and port reach it, and its ICMP errors do (RFC 5452 section 9).
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <memory>
+#include <optional>
+
+#include "core/address.h"
+#include "core/descriptors.h"
+#include "dns/attempt.h"
+
+namespace mothrack::dns {
+
+class UdpPort : public std::enable_shared_from_this<UdpPort> {
+ public:
+  // `exclusive`: for one attempt only, so that an ICMP error can speak of no other.
+  UdpPort(boost::asio::io_context& io, Descriptors& descriptors, CarrierEvents& events, Counters& counters,
+          bool exclusive);
+
+  // Binds, connects and listens; false where the system has no room.
+  bool Open(const Endpoint& resolver);
+  void Close();
+
+  enum class Sending { kSent, kNotTaken, kUnreachable };
+  // On kSent the attempt is open here until Forget(); else nothing was sent.
+  Sending Send(Attempt& attempt, Unpredictable& random);
+  void Forget(const Attempt& attempt);
+
+  // No further attempt: it closes with the last that is open.
+  void Retire();
+
+  bool exclusive() const { return exclusive_; }
+  std::size_t open() const { return open_.size(); }
+  unsigned uses() const { return uses_; }
+  TimePoint idle_since() const { return idle_since_; }
+  std::vector<Attempt*> attempts() const { return open_.All(); }
+
+ private:
+  void Wait();
+  void Receive();
+
+  boost::asio::ip::udp::socket socket_;
+  std::optional<Descriptors::Slot> slot_;
+  CarrierEvents& events_;
+  Counters& counters_;
+  const bool exclusive_;
+  OpenIds open_;
+  unsigned uses_ = 0;
+  TimePoint idle_since_;
+  bool retired_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/dns/udp_server.h
@@ -0,0 +1,43 @@
+// One address at which queries come as datagrams; answers go out from the same.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <deque>
+#include <utility>
+
+#include "core/address.h"
+#include "core/log.h"
+#include "dns/front.h"
+
+namespace mothrack::dns {
+
+class UdpServer {
+ public:
+  // Binds; throws boost::system::system_error.
+  UdpServer(boost::asio::io_context& io, const Endpoint& endpoint, Front& front, Counters& counters,
+            Logger& log);
+
+  Endpoint local() const;
+  // Takes what the system holds, and nothing after it.
+  void StopTaking();
+  // No answer waits to be sent.
+  bool done() const { return waiting_.empty(); }
+
+ private:
+  using Peer = boost::asio::ip::udp::endpoint;
+
+  void Wait();
+  void Receive();
+  void Send(const Peer& to, Buffer answer);
+  void Flush();
+
+  boost::asio::ip::udp::socket socket_;
+  Front& front_;
+  Counters& counters_;
+  Logger& log_;
+  std::deque<std::pair<Peer, Buffer>> waiting_;  // answers that the system has had no room for
+  bool taking_ = true;
+};
+
+}  // namespace mothrack::dns
--- /dev/null
+++ b/fuzz/replay.cpp
@@ -0,0 +1,25 @@
+// Runs a fuzz target over every file of a folder, where there is no libFuzzer. Fails where there is none.
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <vector>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
+
+int main(int argc, char** argv) {
+  if (argc != 2) {
+    std::cerr << "usage: " << argv[0] << " FOLDER\n";
+    return 2;
+  }
+  int files = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(argv[1])) {
+    std::ifstream stream(entry.path(), std::ios::binary);
+    const std::vector<char> bytes((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
+    LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+    ++files;
+  }
+  std::cout << files << " inputs\n";
+  return files > 0 ? 0 : 1;
+}
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -1,68 +1,45 @@
-// mothrack: the sidecar's process. Start, signals and exit code.
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/system/system_error.hpp>
-#include <csignal>
+// mothrack: the command line.
+#include <CLI/CLI.hpp>
 #include <cstdlib>
-#include <exception>
 #include <iostream>
+#include <optional>
 #include <string>
 
-#include "config.h"
-#include "core/descriptors.h"
-#include "core/log.h"
-#include "sidecar.h"
+#include "operator_file.h"
+#include "program.h"
 
 namespace {
 
-mothrack::Config LoadConfig() {
-  return mothrack::LoadConfig([](const char* name) { return std::getenv(name); });
-}
-
-// SIGHUP: a configuration with a fault is logged, and the old one stays.
-void ReloadOnSignal(boost::asio::signal_set& signals, mothrack::Sidecar& sidecar, mothrack::Logger& log) {
-  signals.async_wait([&](const boost::system::error_code& error, int) {
-    if (error) return;
-    ReloadOnSignal(signals, sidecar, log);
-    try {
-      sidecar.Reconfigure(LoadConfig());
-    } catch (const mothrack::ConfigError& e) {
-      log.Line(std::string("configuration not taken: ") + e.what());
-    }
-  });
+int Check(const std::string& path) {
+  try {
+    std::cout << mothrack::Effective(mothrack::LoadOperatorFile(path));
+    return 0;
+  } catch (const mothrack::ConfigError& e) {
+    std::cerr << e.what() << std::endl;
+    return 1;
+  }
 }
 
 }  // namespace
 
-int main() {
-  std::signal(SIGPIPE, SIG_IGN);
+int main(int argc, char** argv) {
+  CLI::App app{
+      "mothrack: a sidecar that passes requests on to one of many upstreams.\n"
+      "Without a command it runs in the foreground: what the LB_* variables tell, what the operator's file\n"
+      "names, or both. SIGTERM begins a planned stop, SIGHUP reads the configuration again."};
+  app.set_version_flag("--version", "mothrack " MOTHRACK_VERSION);
+  std::optional<std::string> config;
+  app.add_option("--config", config, "the operator's file (TOML), as deploy/mothrack.toml")
+      ->type_name("FILE");
+  CLI::App* check =
+      app.add_subcommand("check", "validate an operator's file and print the settings that count");
+  std::string file;
+  check->add_option("FILE", file, "the operator's file")->required();
   try {
-    boost::asio::io_context io(1);
-    boost::asio::signal_set reload(io, SIGHUP);
-    const mothrack::Config config = LoadConfig();
-    mothrack::Logger log(config.name);
-    mothrack::Descriptors descriptors(config.sockets);
-    mothrack::Sidecar sidecar(io, config, descriptors, log);
-    ReloadOnSignal(reload, sidecar, log);
-    std::cerr << config.name << ": listening on " << sidecar.local() << std::endl;
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](const boost::system::error_code& error, int) {
-      if (!error) sidecar.Drain([&io] { io.stop(); });
-    });
-    while (!io.stopped()) {
-      try {
-        io.run();
-      } catch (const std::exception& e) {
-        // One connection's trouble must not end the others.
-        std::cerr << config.name << ": " << e.what() << std::endl;
-      }
-    }
-    return 0;
-  } catch (const boost::system::system_error& e) {
-    std::cerr << "mothrack: LB_LISTEN " << std::getenv("LB_LISTEN") << ": " << e.what() << std::endl;
-    return 1;
-  } catch (const std::exception& e) {
-    std::cerr << "mothrack: " << e.what() << std::endl;
-    return 1;
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e);
   }
+  if (check->parsed()) return Check(file);
+  return mothrack::Run(config, [](const char* name) { return std::getenv(name); });
 }
--- /dev/null
+++ b/node/operator_file.h
@@ -0,0 +1,27 @@
+// The operator's file (TOML): all that the platform's LB_* variables and their JSON do not tell. Read whole,
+// checked whole: one error names file, line, column and the mend, and nothing is taken then.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "config.h"
+#include "dns/settings.h"
+
+namespace mothrack {
+
+struct OperatorFile {
+  std::string path;
+  std::string name = "mothrack";  // before each log line, where LB_NAME is not set
+  std::optional<std::size_t> sockets;
+  std::optional<dns::Settings> dns;
+};
+
+// Throws ConfigError.
+OperatorFile LoadOperatorFile(const std::string& path);
+
+// All settings as they count, defaults filled in, in the file's own form.
+std::string Effective(const OperatorFile& file);
+
+}  // namespace mothrack
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -646,15 +646,42 @@
   // A second copy of a call that is late against what is usual: guards against hangs and pauses. Never onto
   // an upstream that is no better.
   void SecondCopy(Request& r) {
-    if (r.ended || r.streaming || !AnyOut(r) || retry_budget_ < 1) return;
+    if (r.ended || r.streaming || !AnyOut(r)) return;
     if (now_ < r.late_at) return;
-    if (held_ > 1 && held_ > limit_ * kSheddingFrom) return;
-    const UpstreamPtr pick = Pick(r, true);
-    if (!pick) return;
+    const bool crowded = held_ > 1 && held_ > limit_ * kSheddingFrom;
+    const UpstreamPtr pick = crowded || retry_budget_ < 1 ? nullptr : Pick(r, true);
+    if (!pick) {
+      // Nobody who holds it says a word: later, when it has waited as long again.
+      r.late_at = now_ + (now_ - r.arrived);
+      if (AllSilent(r) && r.late_at < r.deadline) Wake(r, r.late_at);
+      return;
+    }
     retry_budget_ -= 1;
     SendTo(r, pick, false);
   }
 
+  // Has its upstream answered nothing at all since it was sent?
+  static bool Silent(const Attempt& a) { return !a.outcome && a.upstream->waiting_since <= a.sent; }
+
+  static bool AllSilent(const Request& r) {
+    return std::all_of(r.attempts.begin(), r.attempts.end(),
+                       [](const Attempt& a) { return a.outcome || Silent(a); });
+  }
+
+  // Its copy, sent when it was late, has been served before it, and its upstream says nothing: a time-out
+  // that was not waited for. Guards against upstreams that swallow calls, which copies hide from the failure
+  // run. Calls that were out together tell of one silence, not of several.
+  void JudgeOvertaken(const Request& r, const Attempt& winner) {
+    for (const Attempt& a : r.attempts) {
+      Upstream& u = *a.upstream;
+      if (!Silent(a) || a.trial || a.sent >= winner.sent || a.sent < u.overtaken_at) continue;
+      if (u.info.state != UpstreamState::kServing) continue;
+      u.overtaken_at = now_;
+      ++u.failure_run;
+      if (!u.ejected && u.failure_run >= LongRun(u, kFailuresToEject)) Eject(u);
+    }
+  }
+
   void On(const AnswerStarted& e) {
     Request* r = Find(e.request);
     if (r == nullptr || r->ended || !AttemptOf(*r, e.attempt)) return;
@@ -678,6 +705,7 @@
     Judge(u, *attempt, e.outcome);
     if (e.outcome == Outcome::kServed) ++served_;
     if (e.finished) {
+      if (e.outcome == Outcome::kServed) JudgeOvertaken(*r, *attempt);
       End(*r);
     } else if (r->streaming) {
       Finish(*r);  // a broken stream that the sidecar still wants an answer for
--- a/src/state.h
+++ b/src/state.h
@@ -67,6 +67,7 @@
   int trials_served = 0;
   bool on_trial = false;    // one trial at a time
   TimePoint waiting_since;  // while it holds calls: since when it has answered none
+  TimePoint overtaken_at;   // the last time that a copy was served before a call it held
   TimePoint full_until;
   Mean slowness;   // its answers' time against the usual of their class
   Mean aim_share;  // its answers' time against their aim
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,323 @@
+// The dispatcher between a front and a transport that are both scripts: one Final a request, one end an
+// attempt, whatever they do and in whichever order.
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/address.h"
+#include "core/deadlines.h"
+#include "core/descriptors.h"
+#include "core/dispatcher.h"
+#include "core/id_memory.h"
+#include "core/random.h"
+#include "core/timers.h"
+#include "gtest/gtest.h"
+
+namespace mothrack {
+namespace {
+
+using kestrellb::Outcome;
+using std::chrono::milliseconds;
+
+struct TextMessage : Message {
+  explicit TextMessage(std::string text) : text(std::move(text)) {}
+  std::string text;
+};
+struct TextReply : Reply {
+  explicit TextReply(std::string text) : text(std::move(text)) {}
+  std::string text;
+};
+
+// Keeps what it is asked to carry until the test ends it.
+class ScriptedTransport : public Transport {
+ public:
+  struct Out {
+    std::string uid;
+    std::shared_ptr<const Message> message;
+    OnEnd on_end;
+  };
+
+  void Apply(const std::string& uid, const Location& location) override { locations[uid] = location; }
+  void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration,
+            OnEnd on_end) override {
+    ++sent;
+    if (at_once) return on_end({*at_once, Duration(1), {}, std::make_unique<TextReply>("at once")});
+    out.emplace(id, Out{uid, std::move(message), std::move(on_end)});
+  }
+  void Probe(ExchangeId, const std::string&, OnEnd on_end) override {
+    on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
+  }
+  void Cancel(ExchangeId id) override {
+    if (out.contains(id)) End(id, Outcome::kCancelled);
+  }
+  void CloseIdle(const std::string&) override {}
+
+  void End(ExchangeId id, Outcome outcome, const std::string& reply = "") {
+    auto on_end = std::move(out.at(id).on_end);
+    out.erase(id);
+    on_end({outcome, milliseconds(1), {}, reply.empty() ? nullptr : std::make_unique<TextReply>(reply)});
+  }
+  ExchangeId Only() const {
+    EXPECT_EQ(out.size(), 1U);
+    return out.begin()->first;
+  }
+
+  std::map<std::string, Location> locations;
+  std::map<ExchangeId, Out> out;
+  std::optional<Outcome> at_once;
+  int sent = 0;
+};
+
+kestrellb::Settings TestSettings() {
+  kestrellb::Settings settings;
+  kestrellb::RequestClass safe;
+  safe.name = "safe";
+  safe.aim = milliseconds(400);
+  safe.deadline = std::chrono::seconds(60);
+  safe.effect = kestrellb::Effect::kSafe;
+  kestrellb::RequestClass unsafe = safe;
+  unsafe.name = "unsafe";
+  unsafe.effect = kestrellb::Effect::kUnsafe;
+  settings.classes = {safe, unsafe};
+  return settings;
+}
+
+MembershipList Members(const std::vector<std::string>& uids,
+                       kestrellb::MembershipUpdate::Kind kind = kestrellb::MembershipUpdate::Kind::kFull) {
+  MembershipList list;
+  list.update.kind = kind;
+  for (const auto& uid : uids) {
+    kestrellb::UpstreamInfo info;
+    info.id.value = uid;
+    list.update.upstreams.push_back(info);
+    list.locations[uid] = Location{kestrellb::UpstreamState::kServing, *ParseEndpoint("127.0.0.1:1"), 0};
+  }
+  return list;
+}
+
+class DispatcherTest : public ::testing::Test {
+ protected:
+  DispatcherTest() : log("test"), dispatcher(io, TestSettings(), 1, transport, log) {
+    dispatcher.Apply(Members({"u1", "u2"}, kestrellb::MembershipUpdate::Kind::kRestored));
+  }
+
+  std::optional<kestrellb::RequestId> Take(std::size_t cls, const std::string& key = "",
+                                           Duration wait = std::chrono::seconds(50)) {
+    NewRequest request;
+    request.request_class = kestrellb::ClassId{cls};
+    request.deadline = Now() + wait;
+    request.key = key;
+    request.message = std::make_shared<TextMessage>("m");
+    request.on_final = [this](Final final) { finals.push_back(std::move(final)); };
+    return dispatcher.Take(std::move(request));
+  }
+  static std::string TextOf(const Final& final) {
+    return final.reply ? static_cast<const TextReply&>(*final.reply).text : "";
+  }
+
+  boost::asio::io_context io;
+  Logger log;
+  ScriptedTransport transport;
+  Dispatcher dispatcher;
+  std::vector<Final> finals;
+};
+
+TEST_F(DispatcherTest, ServedRequestHasOneFinalWithItsReply) {
+  ASSERT_TRUE(Take(0));
+  transport.End(transport.Only(), Outcome::kServed, "answer");
+  ASSERT_EQ(finals.size(), 1U);
+  EXPECT_EQ(finals[0].kind, Final::Kind::kServed);
+  EXPECT_EQ(TextOf(finals[0]), "answer");
+  EXPECT_EQ(dispatcher.open(), 0U);
+}
+
+TEST_F(DispatcherTest, TransportMayEndAttemptsBeforeSendReturns) {
+  transport.at_once = Outcome::kConnectFailed;
+  ASSERT_TRUE(Take(1));
+  ASSERT_EQ(finals.size(), 1U);
+  EXPECT_EQ(finals[0].kind, Final::Kind::kRefused);
+  EXPECT_EQ(finals[0].last, Outcome::kConnectFailed);
+  EXPECT_EQ(finals[0].attempts, static_cast<std::size_t>(transport.sent));
+  EXPECT_GT(transport.sent, 1);
+  transport.at_once = Outcome::kServed;
+  ASSERT_TRUE(Take(1));
+  ASSERT_EQ(finals.size(), 2U);
+  EXPECT_EQ(TextOf(finals[1]), "at once");
+  EXPECT_EQ(dispatcher.open(), 0U);
+}
+
+TEST_F(DispatcherTest, UnsafeRequestThatMayHaveRunFailsWithWhatItGot) {
+  ASSERT_TRUE(Take(1));
+  transport.End(transport.Only(), Outcome::kError, "its own failure");
+  ASSERT_EQ(finals.size(), 1U);
+  EXPECT_EQ(finals[0].kind, Final::Kind::kFailed);
+  EXPECT_EQ(TextOf(finals[0]), "its own failure");
+  EXPECT_EQ(transport.sent, 1);
+}
+
+TEST_F(DispatcherTest, OnlyTheLastAttemptsReplyIsHandedOn) {
+  ASSERT_TRUE(Take(0));
+  transport.End(transport.Only(), Outcome::kError, "the first's");
+  ASSERT_EQ(transport.out.size(), 1U) << "tried again";
+  while (!transport.out.empty()) transport.End(transport.out.begin()->first, Outcome::kReset);
+  ASSERT_EQ(finals.size(), 1U);
+  EXPECT_FALSE(finals[0].reply);
+  EXPECT_EQ(finals[0].last, Outcome::kReset);
+}
+
+TEST_F(DispatcherTest, ClientThatLeftGetsNothingAndItsAttemptIsCalledOff) {
+  const auto id = Take(0);
+  ASSERT_EQ(transport.out.size(), 1U);
+  dispatcher.Gone(*id);
+  EXPECT_TRUE(transport.out.empty());
+  EXPECT_TRUE(finals.empty());
+  EXPECT_EQ(dispatcher.open(), 0U);
+  dispatcher.Gone(*id);  // no longer known
+}
+
+TEST_F(DispatcherTest, KeyIsTakenWhileItsRequestIsOpenAndAWhileAfter) {
+  ASSERT_TRUE(Take(0, "k"));
+  EXPECT_FALSE(Take(0, "k"));
+  transport.End(transport.Only(), Outcome::kServed, "answer");
+  EXPECT_FALSE(Take(0, "k"));
+  EXPECT_TRUE(Take(0, "other"));
+  EXPECT_EQ(finals.size(), 1U);
+}
+
+TEST_F(DispatcherTest, WholeListTellsTheTransportWhoIsGone) {
+  dispatcher.Apply(Members({"u2", "u3"}));
+  EXPECT_EQ(transport.locations.at("u1").state, kestrellb::UpstreamState::kGone);
+  EXPECT_EQ(transport.locations.at("u3").state, kestrellb::UpstreamState::kServing);
+}
+
+TEST_F(DispatcherTest, RequestPastItsDeadlineIsToldSo) {
+  ASSERT_TRUE(Take(0, "", milliseconds(20)));
+  while (finals.empty()) io.run_one();
+  EXPECT_TRUE(finals[0].late);
+  EXPECT_EQ(finals[0].attempts, 1U);
+  EXPECT_TRUE(transport.out.empty()) << "called off";
+}
+
+// Any order of arrivals, ends, departures and changes of the list: each request has at most one Final,
+// exactly one if its client stayed, and nothing is left behind.
+TEST_F(DispatcherTest, AnyOrderOfEventsLeavesOneFinalEach) {
+  std::mt19937 random(7);
+  std::map<int, int> finals_of;
+  std::set<int> gone;
+  int requests = 0;
+  std::vector<std::pair<int, kestrellb::RequestId>> open;
+  const Outcome outcomes[] = {Outcome::kServed,        Outcome::kError, Outcome::kFull,   Outcome::kTimeout,
+                              Outcome::kConnectFailed, Outcome::kReset, Outcome::kNotSent};
+  for (int step = 0; step < 20000; ++step) {
+    const auto dice = random() % 10;
+    if (dice < 4) {
+      const int number = requests++;
+      NewRequest request;
+      request.request_class = kestrellb::ClassId{random() % 2};
+      request.deadline = Now() + std::chrono::seconds(50);
+      request.message = std::make_shared<TextMessage>("m");
+      request.on_final = [&finals_of, number](Final) { ++finals_of[number]; };
+      open.emplace_back(number, *dispatcher.Take(std::move(request)));
+    } else if (dice < 8 && !transport.out.empty()) {
+      auto it = transport.out.begin();
+      std::advance(it, static_cast<long>(random() % transport.out.size()));
+      transport.End(it->first, outcomes[random() % 7], "r");
+    } else if (dice == 8 && !open.empty()) {
+      const auto& [number, id] = open[random() % open.size()];
+      if (!finals_of.contains(number)) gone.insert(number);
+      dispatcher.Gone(id);
+    } else if (step % 50 == 0) {
+      dispatcher.Apply(step % 100 == 0 ? Members({"u1"}) : Members({"u1", "u2", "u3"}));
+    }
+  }
+  while (!transport.out.empty()) transport.End(transport.out.begin()->first, Outcome::kServed, "r");
+  for (int i = 0; i < requests; ++i) ASSERT_EQ(finals_of[i], gone.contains(i) ? 0 : 1) << i;
+  EXPECT_EQ(dispatcher.open(), 0U);
+}
+
+// ---- The smaller parts ----
+
+TEST(IdMemory, ForgetsByAgeAndNumber) {
+  IdMemory ids(milliseconds(100), 3);
+  const TimePoint start{};
+  EXPECT_TRUE(ids.Take("a", start));
+  EXPECT_FALSE(ids.Take("a", start));
+  ids.Ended("a", start);
+  EXPECT_FALSE(ids.Take("a", start + milliseconds(100)));
+  EXPECT_TRUE(ids.Take("a", start + milliseconds(101)));
+  for (const char* name : {"b", "c", "d", "e"}) {
+    EXPECT_TRUE(ids.Take(name, start));
+    ids.Ended(name, start);
+  }
+  EXPECT_TRUE(ids.Take("b", start)) << "the oldest of more than three";
+  EXPECT_FALSE(ids.Take("e", start));
+}
+
+TEST(Timers, FireInOrderAndGoOnAfterAnException) {
+  boost::asio::io_context io;
+  std::vector<std::uint64_t> fired;
+  Timers timers(io, [&](std::uint64_t token) {
+    fired.push_back(token);
+    if (token == 1) throw std::runtime_error("one");
+  });
+  const TimePoint now = Now();
+  timers.Set(now + milliseconds(5), 2);
+  timers.Set(now, 1);
+  timers.Set(now + milliseconds(1), 3);
+  timers.Arm();
+  EXPECT_THROW(io.run(), std::runtime_error);
+  io.restart();
+  io.run();
+  EXPECT_EQ(fired, (std::vector<std::uint64_t>{1, 3, 2}));
+}
+
+TEST(Deadlines, TakenBackOnesDoNotPass) {
+  boost::asio::io_context io;
+  std::vector<std::uint64_t> passed;
+  Deadlines deadlines(io, [&](std::uint64_t token) { passed.push_back(token); });
+  const TimePoint now = Now();
+  deadlines.Set(now + milliseconds(1), 1);
+  deadlines.Set(now + milliseconds(2), 2);
+  deadlines.Set(now + milliseconds(3), 3);
+  deadlines.TakeBack(now + milliseconds(1), 1);
+  io.run();
+  EXPECT_EQ(passed, (std::vector<std::uint64_t>{2, 3}));
+}
+
+TEST(Unpredictable, CoversItsRange) {
+  Unpredictable random;
+  std::set<std::size_t> seen;
+  for (int i = 0; i < 1000; ++i) {
+    const auto value = random.Below(7);
+    ASSERT_LT(value, 7U);
+    seen.insert(value);
+  }
+  EXPECT_EQ(seen.size(), 7U);
+}
+
+TEST(Descriptors, EachSideHasItsHalfOfWhatIsNotFixed) {
+  Descriptors descriptors(64, 4);
+  std::vector<std::unique_ptr<Descriptors::Slot>> slots;
+  while (descriptors.Room(Descriptors::Side::kClient)) {
+    slots.push_back(std::make_unique<Descriptors::Slot>(descriptors, Descriptors::Side::kClient));
+  }
+  EXPECT_EQ(slots.size(), (64U - Descriptors::kFixed - 4) / 2);
+  EXPECT_TRUE(descriptors.Room(Descriptors::Side::kUpstream));
+  slots.pop_back();
+  EXPECT_TRUE(descriptors.Room(Descriptors::Side::kClient));
+}
+
+TEST(Address, IsParsedOrNot) {
+  EXPECT_TRUE(ParseEndpoint("127.0.0.1:53"));
+  EXPECT_EQ(ParseEndpoint("[::1]:53")->port(), 53);
+  for (const char* bad :
+       {"", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:65536", "host:53", "[::1:53"}) {
+    EXPECT_FALSE(ParseEndpoint(bad)) << bad;
+  }
+}
+
+}  // namespace
+}  // namespace mothrack
--- /dev/null
+++ b/tests/dns_message_test.cpp
@@ -0,0 +1,201 @@
+// Reading and rewriting DNS messages, on their own: each length, offset and count that lies.
+#include <random>
+#include <string>
+
+#include "dns/message.h"
+#include "dns/transport.h"
+#include "gtest/gtest.h"
+#include "standins/dns_wire.h"
+
+namespace mothrack::dns {
+namespace {
+
+using testing::AnswerSpec;
+using testing::MakeAnswer;
+using testing::MakeQuery;
+using testing::QuerySpec;
+
+Asked AskedBy(const Buffer& query, std::size_t most = kPlainUdp) {
+  Layout layout;
+  EXPECT_EQ(Read(query, layout), Reading::kWhole);
+  Asked asked{layout.id, layout.flags};
+  asked.edns = layout.edns.has_value();
+  asked.most = most;
+  return asked;
+}
+
+TEST(Message, LayoutOfAQueryAndItsAnswer) {
+  QuerySpec spec;
+  spec.edns_size = 1400;
+  const Buffer query = MakeQuery(spec);
+  Layout layout;
+  ASSERT_EQ(Read(query, layout), Reading::kWhole);
+  EXPECT_EQ(layout.id, 0x1234);
+  EXPECT_EQ(layout.qtype, 1);
+  EXPECT_EQ(layout.question_end, query.size() - 11);
+  ASSERT_TRUE(layout.edns);
+  EXPECT_EQ(layout.edns->payload, 1400);
+  EXPECT_FALSE(layout.response());
+  AnswerSpec answer;
+  answer.records = 7;
+  const Buffer bytes = MakeAnswer(query, answer);
+  ASSERT_EQ(Read(bytes, layout), Reading::kWhole);
+  EXPECT_TRUE(layout.response());
+  EXPECT_EQ(layout.answers, 7);
+  EXPECT_FALSE(layout.edns);
+}
+
+// Whatever is cut off, no byte behind the end is read (the address sanitizer watches) and it is not whole.
+TEST(Message, EveryPrefixIsMalformed) {
+  QuerySpec spec;
+  spec.edns_size = 1232;
+  spec.edns_options = {0, 8, 0, 4, 0, 1, 0, 0};
+  AnswerSpec answer;
+  answer.records = 3;
+  answer.extended_error = 22;
+  const Buffer bytes = MakeAnswer(MakeQuery(spec), answer);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    const Buffer prefix(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(size));
+    Layout layout;
+    EXPECT_EQ(Read(prefix, layout), size < kHeaderSize ? Reading::kNoHeader : Reading::kMalformed) << size;
+  }
+}
+
+TEST(Message, AnyByteMayBeAnything) {
+  QuerySpec spec;
+  spec.edns_size = 1232;
+  AnswerSpec answer;
+  answer.records = 3;
+  answer.extended_error = 22;
+  const Buffer query = MakeQuery(spec);
+  const Buffer good = MakeAnswer(query, answer);
+  const Asked asked = AskedBy(query, 600);
+  std::mt19937 random(11);
+  for (int i = 0; i < 200000; ++i) {
+    Buffer bytes = good;
+    for (int changes = 1 + static_cast<int>(random() % 4); changes > 0; --changes) {
+      bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+    }
+    Layout layout;
+    if (Read(bytes, layout) != Reading::kWhole) continue;
+    // What can be read can be rewritten, and read again.
+    const Buffer out = ForClient(bytes, layout, asked, 1232);
+    ASSERT_LE(out.size(), asked.most);
+    Layout again;
+    ASSERT_EQ(Read(out, again), Reading::kWhole);
+    ASSERT_EQ(again.id, asked.id);
+    ASSERT_EQ(again.rcode(), layout.rcode());
+    const Buffer query_out = ForResolver(bytes, layout, 1232);
+    ASSERT_EQ(Read(query_out, again), Reading::kWhole);
+  }
+}
+
+TEST(Message, PointersLeadBackwardsOnly) {
+  // A chain of pointers, each to the one before: long, but it ends.
+  Buffer bytes = {0, 1, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 1, 'a', 0, 0, 1, 0, 1};
+  std::uint16_t records = 0;
+  std::size_t last = 12;
+  for (; records < 500; ++records) {
+    const std::size_t at = bytes.size();
+    bytes.push_back(static_cast<std::uint8_t>(0xc0 | last >> 8));
+    bytes.push_back(static_cast<std::uint8_t>(last));
+    for (const std::uint8_t byte : {0, 1, 0, 1, 0, 0, 0, 0, 0, 0}) bytes.push_back(byte);
+    last = at;
+  }
+  bytes[6] = static_cast<std::uint8_t>(records >> 8);
+  bytes[7] = static_cast<std::uint8_t>(records);
+  Layout layout;
+  EXPECT_EQ(Read(bytes, layout), Reading::kWhole);
+  // One that leads to itself, and one that leads forwards.
+  Buffer loop = bytes;
+  loop[19] = 0xc0;
+  loop[20] = 19;
+  EXPECT_EQ(Read(loop, layout), Reading::kMalformed);
+  loop[20] = 31;
+  EXPECT_EQ(Read(loop, layout), Reading::kMalformed);
+}
+
+TEST(Message, NamesHave255OctetsAtMost) {
+  for (const int last : {61, 62}) {
+    std::string name;
+    for (int i = 0; i < 3; ++i) name += std::string(63, 'x') + '.';
+    name += std::string(static_cast<std::size_t>(last), 'y');
+    QuerySpec spec;
+    spec.name = name;
+    Layout layout;
+    EXPECT_EQ(Read(MakeQuery(spec), layout), last == 61 ? Reading::kWhole : Reading::kMalformed) << last;
+  }
+}
+
+TEST(Message, SignedOnesAreNotTouched) {
+  QuerySpec spec;
+  spec.edns_size = 4000;
+  spec.edns_options = {0, 10, 0, 8, 1, 2, 3, 4, 5, 6, 7, 8};
+  Buffer query = MakeQuery(spec);
+  // A TSIG record: name, type 250, class ANY, TTL 0, no data.
+  for (const std::uint8_t byte : {1, 107, 0, 0, 250, 0, 255, 0, 0, 0, 0, 0, 0}) query.push_back(byte);
+  query[11] = 2;
+  Layout layout;
+  ASSERT_EQ(Read(query, layout), Reading::kWhole);
+  EXPECT_TRUE(layout.is_signed);
+  EXPECT_EQ(ForResolver(query, layout, 1232), query);
+  // Nothing may stand behind the signature.
+  for (const std::uint8_t byte : {0, 0, 1, 0, 1, 0, 0, 0, 0, 0, 0}) query.push_back(byte);
+  query[11] = 3;
+  EXPECT_EQ(Read(query, layout), Reading::kMalformed);
+}
+
+TEST(Message, OwnAnswerRepeatsTheQuestionAndSaysWhy) {
+  QuerySpec spec;
+  spec.edns_size = 1232;
+  const Buffer query = MakeQuery(spec);
+  Layout layout;
+  ASSERT_EQ(Read(query, layout), Reading::kWhole);
+  const Buffer answer = OwnAnswer(AskedBy(query), Question(query, layout), kServFail,
+                                  Explanation{kNoReachableAuthority, std::string(500, 'x')}, 1232);
+  Layout read;
+  ASSERT_EQ(Read(answer, read), Reading::kWhole);
+  EXPECT_EQ(read.rcode(), kServFail);
+  EXPECT_EQ(ExtendedErrorOf(answer, read), kNoReachableAuthority);
+  EXPECT_LE(answer.size(), kPlainUdp);
+  EXPECT_EQ(testing::QuestionOf(answer), testing::QuestionOf(query));
+  // Whoever speaks no EDNS gets none.
+  const Buffer plain = OwnAnswer(AskedBy(MakeQuery({})), {}, kBadVers, Explanation{}, 1232);
+  ASSERT_EQ(Read(plain, read), Reading::kWhole);
+  EXPECT_FALSE(read.edns);
+}
+
+TEST(Message, ClientWithoutEdnsGetsNoOpt) {
+  const Buffer query = MakeQuery({});
+  AnswerSpec spec;
+  spec.edns_size = 4096;
+  const Buffer answer = MakeAnswer(query, spec);
+  Layout layout;
+  ASSERT_EQ(Read(answer, layout), Reading::kWhole);
+  const Buffer out = ForClient(answer, layout, AskedBy(query), 1232);
+  EXPECT_EQ(out, MakeAnswer(query));
+}
+
+TEST(Judge, TellsTheNamesTroubleFromTheResolvers) {
+  const auto judged = [](int rcode, int extended_error) {
+    AnswerSpec spec;
+    spec.rcode = rcode;
+    spec.extended_error = extended_error;
+    const Buffer answer = MakeAnswer(MakeQuery({}), spec);
+    Layout layout;
+    EXPECT_EQ(Read(answer, layout), Reading::kWhole);
+    return Judge(answer, layout);
+  };
+  using kestrellb::Outcome;
+  EXPECT_EQ(judged(kNoError, -1), Outcome::kServed);
+  EXPECT_EQ(judged(kNxDomain, -1), Outcome::kServed);
+  EXPECT_EQ(judged(kNotImp, -1), Outcome::kServed);
+  EXPECT_EQ(judged(kRefused, -1), Outcome::kFull);
+  EXPECT_EQ(judged(kServFail, -1), Outcome::kError);
+  EXPECT_EQ(judged(kServFail, 23), Outcome::kError);
+  for (int code = 5; code <= 12; ++code) EXPECT_EQ(judged(kServFail, code), Outcome::kServed);
+  EXPECT_EQ(judged(kServFail, 22), Outcome::kServed);
+}
+
+}  // namespace
+}  // namespace mothrack::dns
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "gtest/gtest.h"
-#include "peers.h"
+#include "standins/peers.h"
 
 namespace mothrack::testing {
 namespace {
--- /dev/null
+++ b/tests/operator_file_test.cpp
@@ -0,0 +1,145 @@
+// The operator's file: what it may say, and the one error for what it may not.
+#include "operator_file.h"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+#include "gtest/gtest.h"
+
+namespace mothrack {
+namespace {
+
+class File {
+ public:
+  explicit File(const std::string& text)
+      : path_(std::filesystem::temp_directory_path() / ("operator-" + std::to_string(::getpid()) + ".toml")) {
+    std::ofstream(path_) << text;
+  }
+  ~File() { std::filesystem::remove(path_); }
+  std::string path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+OperatorFile Load(const std::string& text) {
+  const File file(text);
+  return LoadOperatorFile(file.path());
+}
+
+// The error without the path: `line:column: what`.
+std::string ErrorOf(const std::string& text) {
+  const File file(text);
+  try {
+    LoadOperatorFile(file.path());
+  } catch (const ConfigError& e) {
+    const std::string what = e.what();
+    EXPECT_TRUE(what.starts_with(file.path() + ":")) << what;
+    EXPECT_EQ(what.find('\n'), std::string::npos) << what;
+    return what.substr(file.path().size() + 1);
+  }
+  return "taken";
+}
+
+const std::string kDns = "[dns]\nlisten = [\"127.0.0.1:5300\"]\n";
+const std::string kResolver = "[[dns.resolver]]\nuid = \"r1\"\nendpoint = \"127.0.0.1:5301\"\n";
+
+TEST(OperatorFile, OfTheRepositoryIsGood) {
+  const auto file = LoadOperatorFile(MOTHRACK_DEPLOY_FILE);
+  ASSERT_TRUE(file.dns);
+  EXPECT_EQ(file.dns->listen.size(), 1U);
+  EXPECT_EQ(file.dns->resolvers.size(), 2U);
+}
+
+TEST(OperatorFile, EffectiveSettingsReadAsTheSame) {
+  const auto file = Load(
+      "name = \"n\"\n[limits]\nsockets = 100\n" + kDns + "edns_size = 1400\n" +
+      "[[dns.class]]\nname = \"big\"\nopcode = \"QUERY\"\nqtypes = [\"TXT\", \"TYPE999\"]\naim_ms = 5\n" +
+      kResolver + "state = \"leaving\"\nzone = \"bole-hall\"\nweight = 2.5\n");
+  const std::string effective = Effective(file);
+  const auto again = Load(effective);
+  EXPECT_EQ(Effective(again), effective);
+  ASSERT_TRUE(again.dns);
+  EXPECT_EQ(again.sockets, 100U);
+  EXPECT_EQ(again.dns->edns_size, 1400);
+  EXPECT_EQ(again.dns->classes[0].qtypes, (std::vector<std::uint16_t>{16, 999}));
+  EXPECT_EQ(again.dns->classes.size(), 4U) << "the defaults are behind it";
+  EXPECT_TRUE(again.dns->resolvers[0].leaving);
+  EXPECT_EQ(again.dns->resolvers[0].zone, "bole-hall");
+}
+
+TEST(OperatorFile, ErrorsNameThePlaceAndTheMend) {
+  const struct {
+    std::string text;
+    std::string place;
+    std::string words;
+  } cases[] = {
+      {"[dns\n", "1:5: ", "not TOML"},
+      {"a = 1\na = 2\n", "2:", "not TOML"},
+      {"nam = \"x\"\n", "1:1: ", "did you mean \"name\"?"},
+      {"name = 7\n", "1:8: ", "put it in quotes"},
+      {"surprise = 1\n", "1:1: ", "take it out"},
+      {"[limits]\nsockets = 3\n", "2:11: ", "from 64 to"},
+      {"[limits]\nsockets = \"many\"\n", "2:11: ", "whole number"},
+      {"dns = 3\n", "1:7: ", "begin it with [dns]"},
+      {"[dns]\n" + kResolver, "1:1: ", "listen"},
+      {"[dns]\nlisten = \"127.0.0.1:5300\"\n" + kResolver, "2:10: ", "put it in [ ]"},
+      {"[dns]\nlisten = [\"127.0.0.1\"]\n" + kResolver, "2:11: ", "write it as \"127.0.0.1:5300\""},
+      {"[dns]\nlisten = [\"0.0.0.0:53\"]\n" + kResolver, "2:11: ", "name each address"},
+      {"[dns]\nlisten = [\"127.0.0.1:53\", \"127.0.0.1:53\"]\n" + kResolver,
+       "2:27: ", "take one of them out"},
+      {kDns, "1:1: ", "[[dns.resolver]]"},
+      {kDns + "udp_prots = 4\n" + kResolver, "3:1: ", "did you mean \"udp_ports\"?"},
+      {kDns + "edns_size = 100\n" + kResolver, "3:13: ", "from 512 to 4096"},
+      {kDns + "tcp_idle_ms = -1\n" + kResolver, "3:15: ", "out of range"},
+      {kDns + "tcp_idle_ms = 1.5\n" + kResolver, "3:15: ", "whole number"},
+      {kDns + "resolver = 3\n", "3:12: ", "put it in [ ]"},
+      {kDns + "[[dns.resolver]]\nendpoint = \"127.0.0.1:5301\"\n", "3:1: ", "uid"},
+      {kDns + "[[dns.resolver]]\nuid = \"r\"\nendpont = \"127.0.0.1:5301\"\n",
+       "5:1: ", "did you mean \"endpoint\"?"},
+      {kDns + "[[dns.resolver]]\nuid = \"r\"\nendpoint = \"127.0.0.1:0\"\n", "5:12: ", "has no port"},
+      {kDns + kResolver + "state = \"gone\"\n", "6:9: ", "\"active\" or \"leaving\""},
+      {kDns + kResolver + "weight = 0\n", "6:10: ", "from 0.001"},
+      {kDns + kResolver + "[[dns.resolver]]\nuid = \"r1\"\nendpoint = \"127.0.0.1:5302\"\n",
+       "7:7: ", "uid of its own"},
+      {kDns + kResolver + "[[dns.resolver]]\nuid = \"r2\"\nendpoint = \"127.0.0.1:5301\"\n",
+       "8:12: ", "\"r1\", too"},
+      {kDns + "[[dns.resolver]]\nuid = \"r\"\nendpoint = \"127.0.0.1:5300\"\n", "5:12: ", "go round"},
+      {kDns + "[[dns.class]]\nname = \"c\"\nopcode = \"IQUERY\"\n" + kResolver, "5:10: ", "\"QUERY\""},
+      {kDns + "[[dns.class]]\nname = \"c\"\nopcode = \"QUERY\"\nqtypes = [\"B\"]\n" + kResolver,
+       "6:11: ", "no type"},
+      {kDns + "[[dns.class]]\nname = \"c\"\nopcode = \"UPDATE\"\neffect = \"safe\"\n" + kResolver,
+       "6:10: ", "must not be repeated"},
+      {kDns + "[[dns.class]]\nname = \"c\"\nopcode = \"QUERY\"\neffect = \"keyed\"\n" + kResolver,
+       "6:10: ", "\"safe\" or \"unsafe\""},
+      {kDns + "[[dns.class]]\nname = \"c\"\nopcode = \"QUERY\"\naim_ms = 9000\n" + kResolver,
+       "6:10: ", "beyond the deadline"},
+      {kDns +
+           "[[dns.class]]\nname = \"c\"\nopcode = \"QUERY\"\n[[dns.class]]\nname = \"c\"\nopcode = "
+           "\"QUERY\"\n" +
+           kResolver,
+       "7:8: ", "name of its own"},
+  };
+  for (const auto& c : cases) {
+    const std::string error = ErrorOf(c.text);
+    EXPECT_TRUE(error.starts_with(c.place)) << error << "\n" << c.text;
+    EXPECT_NE(error.find(c.words), std::string::npos) << error << "\n" << c.text;
+  }
+}
+
+TEST(OperatorFile, ThatIsNoneIsNamed) {
+  try {
+    LoadOperatorFile("/nowhere/at/all.toml");
+    FAIL();
+  } catch (const ConfigError& e) {
+    EXPECT_NE(std::string(e.what()).find("/nowhere/at/all.toml: cannot be read"), std::string::npos);
+  }
+  EXPECT_NE(ErrorOf(std::string(2 << 20, '#')).find("1 MiB"), std::string::npos);
+  EXPECT_THROW(LoadOperatorFile("/tmp"), ConfigError);
+}
+
+}  // namespace
+}  // namespace mothrack
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -1,7 +1,10 @@
 #!/bin/sh
-# All tests, warnings as errors: once plain, once under the address and undefined-behaviour sanitizers.
+# Installs what the tests need and runs them all, warnings as errors: once plain, once under the address and
+# undefined-behaviour sanitizers.
 set -eu
 cd "$(dirname "$0")/.."
+sh tools/install.sh cmake g++ make libboost-dev nlohmann-json3-dev libtomlplusplus-dev libcli11-dev libgtest-dev \
+  bind9-dnsutils dnsperf
 for sanitize in OFF ON; do
   cmake -B build-test/sanitize-$sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_COMPILE_WARNING_AS_ERROR=ON \
     -DCMAKE_CXX_FLAGS=-Werror -DKESTRELLB_TESTS=ON -DKESTRELLB_SANITIZE=$sanitize
--- /dev/null
+++ b/tests/standins/dns_client.h
@@ -0,0 +1,62 @@
+// Clients of a DNS server on a loopback port, as a test drives them: one over UDP, one over TCP. All waits
+// end after a patience far longer than an answer should take.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "standins/dns_wire.h"
+
+namespace mothrack::testing {
+
+constexpr std::chrono::milliseconds kDnsPatience{15000};
+
+class DnsUdpClient {
+ public:
+  explicit DnsUdpClient(std::uint16_t port);
+  ~DnsUdpClient();
+  DnsUdpClient(const DnsUdpClient&) = delete;
+  DnsUdpClient& operator=(const DnsUdpClient&) = delete;
+
+  void Send(const Octets& query);
+  // The next datagram; nothing where none comes in time.
+  std::optional<Octets> Receive(std::chrono::milliseconds patience = kDnsPatience);
+  std::optional<Octets> Ask(const Octets& query) {
+    Send(query);
+    return Receive();
+  }
+
+ private:
+  int fd_ = -1;
+};
+
+class DnsTcpClient {
+ public:
+  explicit DnsTcpClient(std::uint16_t port);
+  ~DnsTcpClient();
+  DnsTcpClient(const DnsTcpClient&) = delete;
+  DnsTcpClient& operator=(const DnsTcpClient&) = delete;
+
+  bool connected() const { return fd_ >= 0; }
+  void Send(const Octets& query);  // with its length
+  void SendRaw(const Octets& bytes);
+  void EndSending();
+  // The next message; nothing where none comes in time or the connection ends.
+  std::optional<Octets> Receive(std::chrono::milliseconds patience = kDnsPatience);
+  std::optional<Octets> Ask(const Octets& query) {
+    Send(query);
+    return Receive();
+  }
+  // Waits for the other side's close; false where it never comes or something else does.
+  bool ReadsEnd(std::chrono::milliseconds patience = kDnsPatience);
+
+ private:
+  bool ReadMore(std::chrono::steady_clock::time_point until);
+
+  int fd_ = -1;
+  bool ended_ = false;
+  Octets read_;
+};
+
+}  // namespace mothrack::testing
--- a/tests/peers.cpp
+++ b/tests/standins/peers.cpp
@@ -1,4 +1,4 @@
-#include "peers.h"
+#include "standins/peers.h"
 
 #include <fcntl.h>
 #include <netinet/tcp.h>
@@ -266,17 +266,26 @@
              {"settings", options.settings}};
   if (!options.known.is_null()) config_["known"] = {{"rev", 0}, {"all", true}, {"targets", options.known}};
   std::ofstream(config_path_) << (options.config_text.empty() ? config_.dump() : options.config_text);
+  operator_path_ = config_path_ + ".toml";
+  if (!options.operator_file.empty()) std::ofstream(operator_path_) << options.operator_file;
 
   int ends[2];
   if (::pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("pipe");
   pid_ = ::fork();
   if (pid_ == 0) {
     ::dup2(ends[1], 2);
-    ::setenv("LB_NAME", "t1", 1);
-    ::setenv("LB_LISTEN", options.listen.c_str(), 1);
-    ::setenv("LB_DISCOVERY", options.discovery.c_str(), 1);
-    ::setenv("LB_CONFIG", config_path_.c_str(), 1);
+    for (const char* name : {"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"}) ::unsetenv(name);
+    if (options.platform) {
+      ::setenv("LB_NAME", "t1", 1);
+      ::setenv("LB_LISTEN", options.listen.c_str(), 1);
+      ::setenv("LB_DISCOVERY", options.discovery.c_str(), 1);
+      ::setenv("LB_CONFIG", config_path_.c_str(), 1);
+    }
     for (const auto& name : options.unset) ::unsetenv(name.c_str());
+    for (const auto& entry : options.environment) ::putenv(const_cast<char*>(entry.c_str()));
+    if (!options.operator_file.empty()) {
+      ::execl(MOTHRACK_PROGRAM, MOTHRACK_PROGRAM, "--config", operator_path_.c_str(), nullptr);
+    }
     ::execl(MOTHRACK_PROGRAM, MOTHRACK_PROGRAM, nullptr);
     ::_exit(127);
   }
@@ -299,19 +308,29 @@
   }
   if (reading_.joinable()) reading_.join();
   std::filesystem::remove(config_path_);
+  std::filesystem::remove(operator_path_);
 }
 
-bool Node::Listening() {
-  static const std::string kMark = "listening on 127.0.0.1:";
-  return Eventually([this] {
+bool Node::Announced(const std::string& mark, std::uint16_t& port) {
+  return Eventually([&] {
     const std::string text = log();
-    const auto at = text.find(kMark);
+    const auto at = text.find(mark);
     if (at == std::string::npos || text.find('\n', at) == std::string::npos) return false;
-    port_ = static_cast<std::uint16_t>(std::stoi(text.substr(at + kMark.size())));
+    port = static_cast<std::uint16_t>(std::stoi(text.substr(at + mark.size())));
     return true;
   });
 }
 
+bool Node::Listening() { return Announced("listening on 127.0.0.1:", port_); }
+
+bool Node::DnsListening() { return Announced("dns on 127.0.0.1:", dns_port_); }
+
+void Node::ReloadOperatorFile(const std::string& text) {
+  std::ofstream(operator_path_ + ".new") << text;
+  std::filesystem::rename(operator_path_ + ".new", operator_path_);
+  Signal(SIGHUP);
+}
+
 void Node::Signal(int number) { ::kill(pid_, number); }
 
 void Node::Reload(const std::string& config_text) {
--- a/tests/peers.h
+++ b/tests/standins/peers.h
@@ -163,7 +163,10 @@
     int sockets = 256;
     std::string listen = "127.0.0.1:0";
     std::vector<std::string> unset;
-    std::string config_text;  // in place of the JSON made from the rest
+    std::string config_text;                 // in place of the JSON made from the rest
+    bool platform = true;                    // the LB_* variables are set
+    std::string operator_file;               // its text; empty: none is named
+    std::vector<std::string> environment{};  // further NAME=VALUE
   };
   explicit Node(const Options& options);
   ~Node();
@@ -171,6 +174,9 @@
   std::uint16_t port() const { return port_; }
   void Signal(int number);
   void Reload(const std::string& config_text);  // replaces the file and tells it
+  bool DnsListening();                          // waits until it is
+  std::uint16_t dns_port() const { return dns_port_; }
+  void ReloadOperatorFile(const std::string& text);
   json config() const { return config_; }
   int Wait();  // its exit code; 128 and the signal where it was killed
   pid_t pid() const { return pid_; }
@@ -180,9 +186,13 @@
  private:
   pid_t pid_ = -1;
   std::optional<int> status_;
+  bool Announced(const std::string& mark, std::uint16_t& port);
+
   std::uint16_t port_ = 0;
+  std::uint16_t dns_port_ = 0;
   json config_;
   std::string config_path_;
+  std::string operator_path_;
   mutable std::mutex mutex_;
   std::string log_;
   std::thread reading_;
--- /dev/null
+++ b/tests/standins/resolver.cpp
@@ -0,0 +1,219 @@
+#include "standins/resolver.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+namespace mothrack::testing {
+namespace {
+
+sockaddr_in Loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(port);
+  return address;
+}
+
+void Watch(int epoll, int fd) {
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = fd;
+  ::epoll_ctl(epoll, EPOLL_CTL_ADD, fd, &event);
+}
+
+Octets Framed(const Octets& message) {
+  Octets frame;
+  frame.reserve(2 + message.size());
+  frame.push_back(static_cast<std::uint8_t>(message.size() >> 8));
+  frame.push_back(static_cast<std::uint8_t>(message.size()));
+  frame.insert(frame.end(), message.begin(), message.end());
+  return frame;
+}
+
+}  // namespace
+
+StandinResolver::StandinResolver(Script script, bool tcp, std::uint16_t port) : script_(std::move(script)) {
+  // A port that is free for both.
+  for (int i = 0; i < 50; ++i) {
+    udp_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in address = Loopback(port);
+    socklen_t size = sizeof address;
+    if (::bind(udp_, reinterpret_cast<sockaddr*>(&address), size) != 0) throw std::runtime_error("bind UDP");
+    ::getsockname(udp_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    listening_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(listening_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (::bind(listening_, reinterpret_cast<sockaddr*>(&address), size) == 0) break;
+    ::close(udp_);
+    ::close(listening_);
+    udp_ = listening_ = -1;
+  }
+  if (udp_ < 0) throw std::runtime_error("no port free for UDP and TCP");
+  const int buffer = 4 << 20;
+  ::setsockopt(udp_, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+  epoll_ = ::epoll_create1(EPOLL_CLOEXEC);
+  wake_ = ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  Watch(epoll_, wake_);
+  Watch(epoll_, udp_);
+  if (tcp) {
+    ::listen(listening_, 512);
+    Watch(epoll_, listening_);
+  }
+  thread_ = std::thread([this] { Loop(); });
+}
+
+StandinResolver::~StandinResolver() {
+  stopping_ = true;
+  const std::uint64_t one = 1;
+  [[maybe_unused]] const auto written = ::write(wake_, &one, sizeof one);
+  thread_.join();
+  for (const auto& [fd, connection] : open_) ::close(fd);
+  for (const int fd : {udp_, listening_, epoll_, wake_}) ::close(fd);
+}
+
+void StandinResolver::Play(Script script) {
+  const std::lock_guard lock(mutex_);
+  script_ = std::move(script);
+}
+
+std::vector<StandinResolver::Seen> StandinResolver::seen() const {
+  const std::lock_guard lock(mutex_);
+  return seen_;
+}
+
+void StandinResolver::Loop() {
+  while (!stopping_) {
+    int wait = 1000;
+    if (!later_.empty()) {
+      const auto left = later_.begin()->first - std::chrono::steady_clock::now();
+      wait = static_cast<int>(
+          std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(left).count()));
+    }
+    epoll_event events[64];
+    const int ready = ::epoll_wait(epoll_, events, 64, wait);
+    const auto now = std::chrono::steady_clock::now();
+    while (!later_.empty() && later_.begin()->first <= now) {
+      const Later later = later_.begin()->second;
+      later_.erase(later_.begin());
+      const auto it = open_.find(later.fd);
+      const bool there = later.number < 0 || (it != open_.end() && it->second.number == later.number);
+      if (there) SendNow(later.fd, later.peer, later.bytes);
+    }
+    for (int i = 0; i < ready; ++i) {
+      const int fd = events[i].data.fd;
+      if (fd == udp_) {
+        TakeDatagrams();
+      } else if (fd == listening_) {
+        const int taken = ::accept4(listening_, nullptr, nullptr, SOCK_CLOEXEC);
+        if (taken < 0) continue;
+        const int on = 1;
+        ::setsockopt(taken, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        open_[taken].number = connections_++;
+        Watch(epoll_, taken);
+      } else if (fd != wake_) {
+        TakeBytes(fd);
+      }
+    }
+  }
+}
+
+void StandinResolver::TakeDatagrams() {
+  std::uint8_t bytes[65536];
+  for (int i = 0; i < 256; ++i) {
+    sockaddr_in from{};
+    socklen_t size = sizeof from;
+    const ssize_t got = ::recvfrom(udp_, bytes, sizeof bytes, 0, reinterpret_cast<sockaddr*>(&from), &size);
+    if (got < 0) return;
+    Turn turn(*this);
+    turn.fd_ = udp_;
+    turn.peer_.resize(size);
+    std::memcpy(turn.peer_.data(), &from, size);
+    turn.seen_.query.assign(bytes, bytes + got);
+    turn.seen_.from_port = ntohs(from.sin_port);
+    ++udp_queries_;
+    Handle(turn);
+  }
+}
+
+void StandinResolver::TakeBytes(int fd) {
+  std::uint8_t bytes[65536];
+  const ssize_t got = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (got <= 0) return CloseConnection(fd);
+  Octets& read = open_[fd].read;
+  read.insert(read.end(), bytes, bytes + got);
+  while (open_.contains(fd) && open_[fd].read.size() >= 2) {
+    Octets& held = open_[fd].read;
+    const std::size_t size = std::size_t{held[0]} << 8 | held[1];
+    if (held.size() - 2 < size) return;
+    Turn turn(*this);
+    turn.fd_ = fd;
+    turn.seen_.via = Via::kTcp;
+    turn.seen_.connection = open_[fd].number;
+    turn.seen_.query.assign(held.begin() + 2, held.begin() + 2 + static_cast<std::ptrdiff_t>(size));
+    held.erase(held.begin(), held.begin() + 2 + static_cast<std::ptrdiff_t>(size));
+    ++tcp_queries_;
+    Handle(turn);
+  }
+}
+
+void StandinResolver::Handle(Turn& turn) {
+  turn.seen_.at = std::chrono::steady_clock::now();
+  Script script;
+  {
+    const std::lock_guard lock(mutex_);
+    turn.number_ = udp_queries_ + tcp_queries_ - 1;
+    if (keeps_) seen_.push_back(turn.seen_);
+    script = script_;
+  }
+  script(turn);
+}
+
+void StandinResolver::SendNow(int fd, const std::vector<std::uint8_t>& peer, const Octets& bytes) {
+  if (fd == udp_) {
+    ::sendto(fd, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(peer.data()),
+             static_cast<socklen_t>(peer.size()));
+    return;
+  }
+  std::size_t at = 0;
+  while (at < bytes.size()) {
+    const ssize_t sent = ::send(fd, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
+    if (sent <= 0) return;
+    at += static_cast<std::size_t>(sent);
+  }
+}
+
+void StandinResolver::CloseConnection(int fd) {
+  open_.erase(fd);
+  ::close(fd);
+}
+
+void StandinResolver::Turn::Send(const Octets& answer) {
+  owner_.SendNow(fd_, peer_, via() == Via::kTcp ? Framed(answer) : answer);
+}
+
+void StandinResolver::Turn::SendRaw(const Octets& bytes) { owner_.SendNow(fd_, peer_, bytes); }
+
+void StandinResolver::Turn::Reset() {
+  const linger now{1, 0};
+  ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  owner_.CloseConnection(fd_);
+}
+
+void StandinResolver::Turn::SendAfter(std::chrono::milliseconds delay, const Octets& answer) {
+  owner_.later_.emplace(std::chrono::steady_clock::now() + delay,
+                        Later{fd_, seen_.connection, peer_, via() == Via::kTcp ? Framed(answer) : answer});
+}
+
+}  // namespace mothrack::testing
--- /dev/null
+++ b/tests/standins/resolver.h
@@ -0,0 +1,122 @@
+// A stand-in for a DNS resolver on a loopback port, UDP and TCP, that plays a script and keeps what it was
+// sent. One thread; nothing in it waits but for the network.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "standins/dns_wire.h"
+
+namespace mothrack::testing {
+
+class StandinResolver {
+ public:
+  enum class Via { kUdp, kTcp };
+
+  struct Seen {
+    Octets query;
+    Via via = Via::kUdp;
+    std::uint16_t from_port = 0;
+    std::chrono::steady_clock::time_point at;
+    int connection = -1;  // over TCP: the connection's number
+  };
+
+  // What a script does about one query. Valid during the script only; what it plans for later goes by
+  // After().
+  class Turn {
+   public:
+    const Octets& query() const { return seen_.query; }
+    Via via() const { return seen_.via; }
+    int number() const { return number_; }  // of the query, from 0
+    // Octets as they are: over TCP with their length before them.
+    void Send(const Octets& answer);
+    void Answer(const AnswerSpec& spec = {}) { Send(MakeAnswer(query(), spec)); }
+    // Over TCP: these bytes without a length.
+    void SendRaw(const Octets& bytes);
+    // Over TCP: breaks the connection with a reset.
+    void Reset();
+    // The answer goes out so much later, where its way is still there.
+    void SendAfter(std::chrono::milliseconds delay, const Octets& answer);
+
+   private:
+    friend class StandinResolver;
+    StandinResolver& owner_;
+    Seen seen_;
+    int number_ = 0;
+    int fd_ = -1;  // of the connection, or the UDP socket
+    std::vector<std::uint8_t> peer_;
+
+    explicit Turn(StandinResolver& owner) : owner_(owner) {}
+  };
+
+  using Script = std::function<void(Turn&)>;
+  static Script Echo() {
+    return [](Turn& turn) { turn.Answer(); };
+  }
+  // Swallows all without a word.
+  static Script Silent() {
+    return [](Turn&) {};
+  }
+
+  // `tcp`: false leaves the TCP port closed. `port` 0 takes a free one.
+  explicit StandinResolver(Script script, bool tcp = true, std::uint16_t port = 0);
+  ~StandinResolver();
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::uint16_t port() const { return port_; }
+  void Play(Script script);  // from now on
+
+  std::vector<Seen> seen() const;
+  int queries() const { return udp_queries_ + tcp_queries_; }
+  int udp_queries() const { return udp_queries_; }
+  int tcp_queries() const { return tcp_queries_; }
+  int connections() const { return connections_; }
+  // Does not keep what it sees from now on, for long runs.
+  void KeepNothing() { keeps_ = false; }
+
+ private:
+  struct Connection {
+    int number = 0;
+    Octets read;
+  };
+  struct Later {
+    int fd = -1;
+    int number = -1;  // of the connection
+    std::vector<std::uint8_t> peer;
+    Octets bytes;
+  };
+
+  void Loop();
+  void TakeDatagrams();
+  void TakeBytes(int fd);
+  void Handle(Turn& turn);
+  void SendNow(int fd, const std::vector<std::uint8_t>& peer, const Octets& bytes);
+  void CloseConnection(int fd);
+
+  int udp_ = -1;
+  int listening_ = -1;
+  int epoll_ = -1;
+  int wake_ = -1;
+  std::uint16_t port_ = 0;
+  mutable std::mutex mutex_;
+  Script script_;
+  std::vector<Seen> seen_;
+  std::atomic<bool> keeps_{true};
+  std::atomic<int> udp_queries_{0};
+  std::atomic<int> tcp_queries_{0};
+  std::atomic<int> connections_{0};
+  std::map<int, Connection> open_;
+  std::multimap<std::chrono::steady_clock::time_point, Later> later_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace mothrack::testing
--- /dev/null
+++ b/tests/standins/resolver_main.cpp
@@ -0,0 +1,54 @@
+// standin_resolver PORT [silent]: a resolver for trials by hand, for dig and dnsperf. Port 0 takes a free
+// one; it is printed. Answers each query with one record, and "bigN.example.org" with N (truncated over UDP
+// where they do not fit what the query says), until it is ended; then it tells how many it was sent.
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "standins/resolver.h"
+
+namespace {
+
+using mothrack::testing::AnswerSpec;
+using mothrack::testing::EdnsSizeOf;
+using mothrack::testing::MakeAnswer;
+using mothrack::testing::NameOf;
+using mothrack::testing::StandinResolver;
+
+void Answer(StandinResolver::Turn& turn) {
+  AnswerSpec spec;
+  spec.edns_size = EdnsSizeOf(turn.query()) >= 0 ? 4096 : -1;
+  const std::string name = NameOf(turn.query());
+  if (name.starts_with("big")) spec.records = std::atoi(name.c_str() + 3);
+  auto answer = MakeAnswer(turn.query(), spec);
+  const auto most = static_cast<std::size_t>(std::max(512, EdnsSizeOf(turn.query())));
+  if (turn.via() == StandinResolver::Via::kUdp && answer.size() > most) {
+    spec.truncated = true;
+    answer = MakeAnswer(turn.query(), spec);
+  }
+  turn.Send(answer);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) {
+    std::cerr << "usage: standin_resolver PORT [silent]\n";
+    return 2;
+  }
+  sigset_t end;
+  sigemptyset(&end);
+  sigaddset(&end, SIGTERM);
+  sigaddset(&end, SIGINT);
+  sigprocmask(SIG_BLOCK, &end, nullptr);
+  const bool silent = argc > 2 && std::string(argv[2]) == "silent";
+  StandinResolver resolver(silent ? StandinResolver::Silent() : Answer, true,
+                           static_cast<std::uint16_t>(std::atoi(argv[1])));
+  resolver.KeepNothing();
+  std::cout << "port " << resolver.port() << std::endl;
+  int number = 0;
+  sigwait(&end, &number);
+  std::cout << "udp " << resolver.udp_queries() << " tcp " << resolver.tcp_queries() << std::endl;
+  return 0;
+}
