DNS: one epoll descriptor watches all UDP ports; port 0 is one that is free for UDP and TCP

With port 0 another one is now tried. A test counted on datagrams that the system's buffer had dropped behind its own flood; they come after it now. A wait of the event loop's for each UDP port cost three system calls a query; the ports share an epoll descriptor of their own now, read one datagram at a time.

--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -383,9 +383,7 @@
 "ConnectTimeout":200000,"IdleClose":15000000}}})";
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int Run(int argc, char** argv) {
   if (argc < 3) {
     std::fprintf(stderr, "usage: mothrack_bench PROGRAM FLOOR [--requests N] [--rounds N] [--check]\n");
     return 2;
@@ -497,3 +495,14 @@
                 kMostMemoryKb);
   return check && missed ? 1 : 0;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "mothrack_bench: %s\n", e.what());
+    return 1;
+  }
+}
--- a/bench/dns_wire.cpp
+++ b/bench/dns_wire.cpp
@@ -1,5 +1,7 @@
 // bench_dns_wire: what reading an answer costs, by the reader of the few fields that a forwarder needs and by
 // ldns, turn about in one run; for the choice in docs/design/dns.md. Built where libldns-dev is installed.
+#include "standins/dns_wire.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -7,7 +9,6 @@
 #include <vector>
 
 #include "dns/message.h"
-#include "standins/dns_wire.h"
 
 // Last: it redefines `true` and `false`.
 #include <ldns/ldns.h>
--- a/core/descriptors.h
+++ b/core/descriptors.h
@@ -11,9 +11,9 @@
   // next connection, with some left over.
   static constexpr std::size_t kFixed = 16;
 
-  // `listening`: further listening sockets that are open all the time.
-  explicit Descriptors(std::size_t limit, std::size_t listening = 0)
-      : limit_(limit > kFixed + listening ? limit - kFixed - listening : 1) {}
+  // `further`: more that are open all the time.
+  explicit Descriptors(std::size_t limit, std::size_t further = 0)
+      : limit_(limit > kFixed + further ? limit - kFixed - further : 1) {}
 
   enum class Side { kClient, kUpstream };
 
--- a/core/exchange.h
+++ b/core/exchange.h
@@ -41,8 +41,8 @@
   // more than the front could.
   std::unique_ptr<Reply> reply;
   Duration retry_after{};                  // of a refusal; zero: no advice
-  bool late = false;         // the request's time is over
-  std::size_t attempts = 0;  // made so far; some may still be out
+  bool late = false;                       // the request's time is over
+  std::size_t attempts = 0;                // made so far; some may still be out
   std::optional<kestrellb::Outcome> last;  // of the attempt that ended last; absent where none did
 };
 using OnFinal = std::function<void(Final)>;
--- a/demo/demo.cpp
+++ b/demo/demo.cpp
@@ -23,6 +23,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr milliseconds kSpell{2500};
+// A trial of one that is silent takes its class's deadline, and the next one comes 1 s later.
+constexpr milliseconds kReturn{6000};
 constexpr milliseconds kEach{8};  // a client's pause between requests
 
 // A page server that answers, or holds what it gets without a word.
@@ -170,7 +172,7 @@
   count();
   pages[2]->Silence(false);
   resolvers[2]->Play(StandinResolver::Echo());
-  std::this_thread::sleep_for(kSpell);
+  std::this_thread::sleep_for(kReturn);
   stop = true;
   for (auto& client : clients) client.join();
   count();
--- a/dns/front.cpp
+++ b/dns/front.cpp
@@ -1,6 +1,7 @@
 #include "dns/front.h"
 
 #include <algorithm>
+#include <boost/system/system_error.hpp>
 #include <utility>
 
 #include "dns/tcp_server.h"
@@ -16,6 +17,7 @@
 constexpr std::size_t kMostUpdates = 4096;
 // Clients go on sending for a moment after a planned stop began.
 constexpr Duration kTakeWhileDraining = std::chrono::milliseconds(800);
+constexpr int kMostPortTries = 50;
 constexpr auto kDrainCheck = std::chrono::milliseconds(10);
 
 // Where a client's query and its retransmission are the same: the id and the question, for an UPDATE all but
@@ -53,11 +55,20 @@
       counters_(counters),
       classifier_(settings.classes),
       drain_check_(io) {
-  for (Endpoint endpoint : settings.listen) {
-    udp_.push_back(std::make_unique<UdpServer>(io, endpoint, *this, counters, log));
-    // Port 0 takes a free one: the same for both.
-    endpoint.port(udp_.back()->local().port());
-    tcp_.push_back(std::make_unique<TcpServer>(io, endpoint, settings, descriptors, *this, log));
+  for (const Endpoint& endpoint : settings.listen) {
+    for (int tries = endpoint.port() == 0 ? kMostPortTries : 1; tries > 0; --tries) {
+      auto udp = std::make_unique<UdpServer>(io, endpoint, *this, counters, log);
+      // Port 0 takes a free one, the same for both: what is free for UDP may be taken for TCP.
+      const Endpoint same(endpoint.address(), udp->local().port());
+      try {
+        tcp_.push_back(std::make_unique<TcpServer>(io, same, settings, descriptors, *this, log));
+      } catch (const boost::system::system_error&) {
+        if (tries == 1) throw;
+        continue;
+      }
+      udp_.push_back(std::move(udp));
+      break;
+    }
   }
 }
 
--- a/dns/service.h
+++ b/dns/service.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -23,6 +24,9 @@
   Service(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed, Descriptors& descriptors,
           Logger& log);
 
+  // Open all the time: the listening sockets, UDP and TCP, and the descriptor that the ports are watched by.
+  static std::size_t FixedDescriptors(const Settings& settings) { return 2 * settings.listen.size() + 1; }
+
   std::vector<Endpoint> local() const { return front_.local(); }
   // Takes over the list of resolvers; nothing else of `settings`.
   void Follow(const Settings& settings);
--- a/dns/transport.cpp
+++ b/dns/transport.cpp
@@ -49,6 +49,7 @@
       settings_(settings),
       descriptors_(descriptors),
       counters_(counters),
+      poll_(io),
       deadlines_(io, [this](std::uint64_t id) { Expired(ExchangeId{id}); }),
       sweep_(io) {
   ScheduleSweep();
@@ -144,7 +145,7 @@
   if (!exclusive && place < resolver.ports.size()) return resolver.ports[place];
   if (descriptors_.Room(Descriptors::Side::kUpstream) ||
       ((exclusive || resolver.ports.empty()) && MakeRoom())) {
-    auto port = std::make_shared<UdpPort>(io_, descriptors_, events(), counters_, exclusive);
+    auto port = std::make_shared<UdpPort>(io_, poll_, descriptors_, events(), counters_, exclusive);
     if (port->Open(resolver.location.endpoint)) {
       if (!exclusive) resolver.ports.push_back(port);
       return port;
--- a/dns/transport.h
+++ b/dns/transport.h
@@ -16,6 +16,7 @@
 #include "core/exchange.h"
 #include "dns/attempt.h"
 #include "dns/settings.h"
+#include "dns/udp_poll.h"
 
 namespace mothrack::dns {
 
@@ -70,6 +71,7 @@
   Descriptors& descriptors_;
   Counters& counters_;
   Unpredictable random_;
+  UdpPoll poll_;
   std::map<std::string, std::shared_ptr<Resolver>> resolvers_;
   std::unordered_map<ExchangeId, Attempt> attempts_;
   Deadlines deadlines_;
--- a/dns/udp_port.cpp
+++ b/dns/udp_port.cpp
@@ -8,9 +8,6 @@
 using boost::asio::ip::udp;
 using boost::system::error_code;
 
-// Read in a row before others get their turn.
-constexpr int kMostInARow = 64;
-
 bool Unreachable(const error_code& error) {
   return error == boost::asio::error::connection_refused || error == boost::asio::error::host_unreachable ||
          error == boost::asio::error::network_unreachable;
@@ -18,9 +15,10 @@
 
 }  // namespace
 
-UdpPort::UdpPort(boost::asio::io_context& io, Descriptors& descriptors, CarrierEvents& events,
+UdpPort::UdpPort(boost::asio::io_context& io, UdpPoll& poll, Descriptors& descriptors, CarrierEvents& events,
                  Counters& counters, bool exclusive)
     : socket_(io),
+      poll_(poll),
       slot_(std::in_place, descriptors, Descriptors::Side::kUpstream),
       events_(events),
       counters_(counters),
@@ -34,17 +32,17 @@
   // Bound by connecting: Linux takes a port of its ephemeral range by a random number of its own.
   if (!error) socket_.connect(to, error);
   if (!error) socket_.non_blocking(true, error);
-  if (error) {
+  if (error || !poll_.Add(socket_.native_handle(), shared_from_this())) {
     Close();
     return false;
   }
-  Wait();
   return true;
 }
 
 void UdpPort::Close() {
   if (closed_) return;
   closed_ = true;
+  if (socket_.is_open()) poll_.Remove(socket_.native_handle());
   error_code ignored;
   socket_.close(ignored);
   slot_.reset();
@@ -90,29 +88,22 @@
   if (open_.size() == 0) Close();
 }
 
-void UdpPort::Wait() {
-  socket_.async_wait(udp::socket::wait_read, [self = shared_from_this()](error_code error) {
-    if (error || self->closed_) return;
-    self->Receive();
-  });
-}
-
+// No more than one at a time: whatever still waits is told again, and another look costs less than a read for
+// nothing on every port.
 void UdpPort::Receive() {
   static thread_local std::array<std::uint8_t, kMostMessage> datagram;
-  for (int i = 0; i < kMostInARow && !closed_; ++i) {
-    error_code error;
-    const std::size_t size = socket_.receive(boost::asio::buffer(datagram), 0, error);
-    if (error == boost::asio::error::would_block) break;
-    if (error) {
-      if (Unreachable(error)) events_.OnUnreachable(*this);
-      continue;  // the error is gone with being read
-    }
-    Layout layout;
-    const Bytes message(datagram.data(), size);
-    if (Attempt* attempt = Match(open_, message, layout, counters_))
-      events_.OnAnswer(*attempt, message, layout);
+  if (closed_) return;
+  error_code error;
+  const std::size_t size = socket_.receive(boost::asio::buffer(datagram), 0, error);
+  if (error) {
+    if (Unreachable(error)) events_.OnUnreachable(*this);
+    return;  // the error is gone with being read
+  }
+  Layout layout;
+  const Bytes message(datagram.data(), size);
+  if (Attempt* attempt = Match(open_, message, layout, counters_)) {
+    events_.OnAnswer(*attempt, message, layout);
   }
-  if (!closed_) Wait();
 }
 
 }  // namespace mothrack::dns
--- a/dns/udp_port.h
+++ b/dns/udp_port.h
@@ -10,14 +10,19 @@
 #include "core/address.h"
 #include "core/descriptors.h"
 #include "dns/attempt.h"
+#include "dns/udp_poll.h"
 
 namespace mothrack::dns {
 
 class UdpPort : public std::enable_shared_from_this<UdpPort> {
  public:
   // `exclusive`: for one attempt only, so that an ICMP error can speak of no other.
-  UdpPort(boost::asio::io_context& io, Descriptors& descriptors, CarrierEvents& events, Counters& counters,
-          bool exclusive);
+  UdpPort(boost::asio::io_context& io, UdpPoll& poll, Descriptors& descriptors, CarrierEvents& events,
+          Counters& counters, bool exclusive);
+
+  ~UdpPort() { Close(); }
+  UdpPort(const UdpPort&) = delete;
+  UdpPort& operator=(const UdpPort&) = delete;
 
   // Binds, connects and listens; false where the system has no room.
   bool Open(const Endpoint& resolver);
@@ -28,6 +33,9 @@
   Sending Send(Attempt& attempt, Unpredictable& random);
   void Forget(const Attempt& attempt);
 
+  // Takes one datagram or error that waits.
+  void Receive();
+
   // No further attempt: it closes with the last that is open.
   void Retire();
 
@@ -38,10 +46,8 @@
   std::vector<Attempt*> attempts() const { return open_.All(); }
 
  private:
-  void Wait();
-  void Receive();
-
   boost::asio::ip::udp::socket socket_;
+  UdpPoll& poll_;
   std::optional<Descriptors::Slot> slot_;
   CarrierEvents& events_;
   Counters& counters_;
--- a/node/program.cpp
+++ b/node/program.cpp
@@ -64,7 +64,8 @@
   Program(boost::asio::io_context& io, Told told)
       : io_(io),
         log_(told.name()),
-        descriptors_(told.sockets(), told.file && told.file->dns ? 2 * told.file->dns->listen.size() : 0),
+        descriptors_(told.sockets(),
+                     told.file && told.file->dns ? dns::Service::FixedDescriptors(*told.file->dns) : 0),
         told_(std::move(told)) {
     if (told_.platform) {
       try {
--- a/tests/dns_test.cpp
+++ b/tests/dns_test.cpp
@@ -746,19 +746,21 @@
       SetId(forged, ++id);
       turn.Send(forged);
     }
+    // Once the flood is through: the system's own buffer may drop some of that.
+    constexpr milliseconds kLater{150};
     QuerySpec other = Named("evil.example.org", IdOf(right));
-    turn.Send(MakeAnswer(MakeQuery(other)));
+    turn.SendAfter(kLater, MakeAnswer(MakeQuery(other)));
     forged = right;
     forged[13] ^= 0x20;
-    turn.Send(forged);
+    turn.SendAfter(kLater, forged);
     forged = right;
     forged[2] &= 0x7f;
-    turn.Send(forged);
+    turn.SendAfter(kLater, forged);
     forged = Octets(right.begin(), right.begin() + 12);
     for (std::size_t i = 4; i < 12; ++i) forged[i] = 0;
-    turn.Send(forged);
-    turn.Send(Octets(right.begin(), right.end() - 3));  // cut
-    turn.SendAfter(milliseconds(100), right);
+    turn.SendAfter(kLater, forged);
+    turn.SendAfter(kLater, Octets(right.begin(), right.end() - 3));  // cut
+    turn.SendAfter(2 * kLater, right);
   });
   // Another process at the same machine answers from its own port: the system keeps that out.
   const std::string file = File(Upstreams().Add("r1", resolver.address()));
@@ -771,9 +773,8 @@
   EXPECT_EQ(*answer, MakeAnswer(query));
   EXPECT_FALSE(client.Receive(kQuiet));
   EXPECT_EQ(Counted(node, file, "garbled"), 1);
-  // The system's own buffer may have dropped some of the flood.
   const long unmatched = Counted(node, file, "unmatched");
-  EXPECT_GE(unmatched, 4);
+  EXPECT_GT(unmatched, 4) << "four of these, and some of the flood";
   EXPECT_LE(unmatched, kGuesses + 4);
   EXPECT_EQ(resolver.queries(), 1);
 }
