Tests: out of sockets by a preloaded refusal, not by a limit the sanitizer trips over

The undefined-behaviour sanitizer opens a pipe for each first look at an object's type and takes one that it can't have for an object that isn't there; the test had lowered the process's own limit of descriptors. Where the first query was slow enough for a second copy, its port left the pipe no room, and the program was ended by its own check (seen in the system calls: nine pipes within the first query, two descriptors free).

The tests now run out of sockets alone: few_sockets, loaded ahead of the program, refuses socket() and accept() beyond a number, and the test checks that it did.

--- a/tests/standins/peers.h
+++ b/tests/standins/peers.h
@@ -167,6 +167,8 @@
     bool platform = true;                    // the LB_* variables are set
     std::string operator_file;               // its text; empty: none is named
     std::vector<std::string> environment{};  // further NAME=VALUE
+    int full_send = 0;    // of its datagrams, the system takes only every so manieth at the first try
+    int few_sockets = 0;  // the system gives it no socket of this number or more
   };
   explicit Node(const Options& options);
   ~Node();
