Fleet: the decisions of a change to many instances, pure, and histories that fail them

Need: rolling changes by one tool must survive the death of any agent or tool at any step, and two operators at once. That can be tested in every interleaving only where the logic does no I/O and reads no clock.

Change: fleet/ has the lease with fencing (LeaseBook), a tool's way to it (Claim), plans and batches, a change with its gates and its turning back (Change), and an agent's steps, back-off and crash loops (Instance).

--- /dev/null
+++ b/fleet/change.h
@@ -0,0 +1,128 @@
+// Carries one change through: its steps batch by batch, a gate after each, and what happens when one fails.
+// It runs in the tool, which may die at any time: nothing of it needs to survive, as the plan and how far
+// each step came are with the agents. Whoever holds the lease next builds it anew from them and goes on, or
+// undoes.
+//
+// Driven by what is heard from the agents and by the time; every command may be lost, repeated or late:
+// agents take each step once (fleet/instance.h), and none from a holder that was followed by another
+// (fleet/lease.h). All times are of the tool's own steady clock.
+//
+// The rules that it keeps:
+//   * before a batch begins, every target outside it is available, but for those that the change has stopped
+//   on
+//     purpose; so no more than `max_unavailable` are down at once for its sake, all in one hall;
+//   * a batch ends only once each of its steps has ended well and has looked well for `watch`;
+//   * nothing is commanded unless each agent that it touches has confirmed the lease a short while ago;
+//   * whatever looks wrong ends it in a known state: held, with the reason, or undone.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/plan.h"
+#include "fleet/types.h"
+
+namespace mothrack::fleet {
+
+enum class ChangeEnd {
+  kCompleted,
+  kHeld,        // as it stands; `why` tells. Another holder may resume or undo it
+  kRolledBack,  // every step that was taken is undone
+  kAborted,     // on demand: no further step, those taken stay
+};
+
+struct ChangeCommand {
+  enum class Kind {
+    kTake,    // tells `name`'s agent to take `step`; its answer is a report
+    kReport,  // asks `name`'s agent for a report
+    kRenew,   // asks `name.agent` to confirm the lease
+    kSay,     // `line`, for the operator
+  };
+  Kind kind = Kind::kSay;
+  InstanceName name{};
+  Step step{};
+  std::uint64_t number = 0;  // comes back with the answer; kRenew: likewise
+  std::string line{};
+};
+
+class Change {
+ public:
+  enum class Aim { kForward, kUndo };
+
+  // `plan` has no fault. The lease of every agent that it touches was granted no earlier than `leased_at`,
+  // and counts for `lease_time` there.
+  Change(Plan plan, Aim aim, Duration lease_time, TimePoint leased_at);
+
+  // What agents answer. `asked_at`: when the question left, of this clock.
+  void Heard(const InstanceName& name, std::uint64_t number, const Report& report, TimePoint asked_at);
+  void Renewed(const std::string& agent, TimePoint asked_at);
+  // An agent has another holder, or none: nothing more is commanded.
+  void Fenced(const std::string& agent, const std::string& holder);
+  // An agent refused a step, as it can't be taken there.
+  void Refused(const InstanceName& name, const std::string& why);
+  // The operator wants no further step.
+  void Abort();
+
+  // Appends what is to be done. Call it after each of the above, and at least every kTurn.
+  static constexpr Duration kTurn{250};
+  void Turn(TimePoint now, std::vector<ChangeCommand>& commands);
+
+  std::optional<ChangeEnd> end() const { return end_; }
+  const std::string& why() const { return why_; }
+
+ private:
+  struct Progress {
+    std::optional<Report> report;    // the latest
+    std::uint64_t number = 0;        // of the question that it answers
+    TimePoint heard;                 // when that question left
+    std::optional<TimePoint> asked;  // when the last question left
+    bool sent = false;               // a step was commanded, whether or not it was taken
+    std::optional<Report> before;    // when its step was about to be commanded
+    std::optional<Report> done;      // when its step was first seen to have ended well
+  };
+
+  // Has the target's agent taken this change's step, in the direction that it goes now?
+  bool Taken(std::size_t target) const;
+  // Is there anything to undo, or may there be?
+  bool Touched(std::size_t target) const;
+  Step StepOf(std::size_t target) const;
+  std::string Name(std::size_t target) const;
+
+  void Finish(ChangeEnd end, const std::string& why, std::vector<ChangeCommand>& commands);
+  // Something looks wrong: it ends held, or turns back where the policy says so.
+  void Trouble(const std::string& why, TimePoint now, std::vector<ChangeCommand>& commands);
+  void Enter(std::size_t batch, TimePoint now);
+  void Question(ChangeCommand::Kind kind, std::size_t target, TimePoint now,
+                std::vector<ChangeCommand>& commands);
+  void AskAround(TimePoint now, std::vector<ChangeCommand>& commands);
+  // The agent that has not been heard of for too long; empty: none.
+  std::string Silent(TimePoint now) const;
+  // What stands against beginning the batch; empty: nothing.
+  std::string Against(const std::vector<std::size_t>& batch) const;
+  // What is wrong with a target whose step has ended well; empty: nothing.
+  std::string Unwell(std::size_t target) const;
+  void Work(TimePoint now, std::vector<ChangeCommand>& commands);
+
+  const Plan plan_;
+  Aim aim_;
+  const Duration lease_time_;
+  std::vector<std::vector<std::size_t>> batches_;  // in the order in which they go now
+  std::vector<Progress> progress_;                 // by target
+  std::map<std::string, TimePoint> leased_;        // by agent: when the question left that it confirmed last
+  std::optional<TimePoint> renewed_at_;            // the last question
+  std::uint64_t last_number_ = 0;
+  std::size_t batch_ = 0;
+  TimePoint entered_;               // the batch is the current one
+  std::optional<TimePoint> began_;  // its first step was commanded
+  std::optional<TimePoint> well_since_;
+  std::string fault_;  // told by an agent, for the next turn
+  bool fenced_ = false;
+  bool aborted_ = false;
+  std::optional<ChangeEnd> end_;
+  std::string why_;
+  std::string trouble_;  // why it turned back
+};
+
+}  // namespace mothrack::fleet
--- /dev/null
+++ b/fleet/instance.cpp
@@ -0,0 +1,119 @@
+#include "fleet/instance.h"
+
+#include <algorithm>
+
+namespace mothrack::fleet {
+
+Instance::Verdict Instance::Take(const Step& step) {
+  const bool same_change = record_.phase != Phase::kNone && record_.step.change == step.change;
+  if (same_change && record_.step.undo == step.undo) return Verdict::kTaken;
+  if (same_change && record_.step.undo) return Verdict::kStale;
+  // An undo takes over from its own change's step at any point; every other step waits its turn.
+  if (record_.phase == Phase::kAccepted && !same_change) return Verdict::kBusy;
+  record_.step = step;
+  if (step.undo && !same_change) {
+    // Nothing is to be undone; but the step itself may still be on its way, and is stale from now on.
+    record_.phase = Phase::kDone;
+    record_.why.clear();
+    return Verdict::kTaken;
+  }
+  record_.phase = Phase::kAccepted;
+  record_.why.clear();
+  record_.wanted = step.kind != StepKind::kStop;
+  record_.generation = step.generation;
+  record_.token = step.token();
+  stopping_since_.reset();
+  killed_ = false;
+  started_at_.reset();
+  step_ends_ = 0;
+  start_at_.reset();
+  ends_.clear();
+  held_ = false;
+  return Verdict::kTaken;
+}
+
+void Instance::Look(const Seen& seen, TimePoint now, std::vector<Action>& actions) {
+  if (was_running_ && !seen.running && !stopping_since_) NoteEnd(now);
+  if (!seen.running) stopping_since_.reset(), killed_ = false;
+  was_running_ = seen.running;
+  if (record_.phase == Phase::kAccepted) {
+    StepOn(seen, now, actions);
+  } else {
+    Supervise(seen, now, actions);
+  }
+}
+
+void Instance::Finish(Phase phase, const std::string& why, std::vector<Action>& actions) {
+  record_.phase = phase;
+  record_.why = why;
+  const std::string end = phase == Phase::kDone ? " done" : " failed: " + why;
+  actions.push_back({Action::Kind::kSay, {}, {}, record_.step.token() + end});
+}
+
+void Instance::StepOn(const Seen& seen, TimePoint now, std::vector<Action>& actions) {
+  const bool of_step = seen.running && seen.token == record_.token;
+  if (seen.running && !of_step) return Stop(seen, now, actions);
+  if (!record_.wanted) return Finish(Phase::kDone, {}, actions);
+  if (!seen.running) {
+    if (step_ends_ >= limits_.step_starts) {
+      return Finish(Phase::kFailed, "it ended " + std::to_string(step_ends_) + " times", actions);
+    }
+    if (!start_at_ || now >= *start_at_) Start(now, actions);
+    return;
+  }
+  if (!started_at_) started_at_ = now;
+  if (seen.ready && seen.generation == record_.generation) return Finish(Phase::kDone, {}, actions);
+  if (now - *started_at_ >= limits_.ready) {
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limits_.ready).count();
+    Finish(Phase::kFailed, "not ready within " + std::to_string(seconds) + " s", actions);
+  }
+}
+
+void Instance::Supervise(const Seen& seen, TimePoint now, std::vector<Action>& actions) {
+  if (!record_.wanted) {
+    if (seen.running) Stop(seen, now, actions);
+    return;
+  }
+  if (seen.running || held_) return;
+  if (ends_.size() >= limits_.crashes) {
+    held_ = true;
+    actions.push_back({Action::Kind::kSay,
+                       {},
+                       {},
+                       "crash loop: it ended " + std::to_string(ends_.size()) +
+                           " times; held, restart it once it is mended"});
+    return;
+  }
+  if (!start_at_ || now >= *start_at_) Start(now, actions);
+}
+
+void Instance::Stop(const Seen& seen, TimePoint now, std::vector<Action>& actions) {
+  if (!stopping_since_) {
+    stopping_since_ = now;
+    if (!seen.draining) actions.push_back({Action::Kind::kStop, {}, {}, {}});
+  } else if (!killed_ && now - *stopping_since_ >= limits_.stop) {
+    killed_ = true;
+    actions.push_back({Action::Kind::kKill, {}, {}, {}});
+    actions.push_back({Action::Kind::kSay, {}, {}, "killed: it ignored the planned stop"});
+  }
+}
+
+void Instance::NoteEnd(TimePoint now) {
+  ends_.push_back(now);
+  while (!ends_.empty() && now - ends_.front() > limits_.crash_window) ends_.pop_front();
+  if (record_.phase == Phase::kAccepted && started_at_) ++step_ends_;
+  Duration pause = limits_.first_pause;
+  for (std::size_t i = 1; i < ends_.size() && pause < limits_.longest_pause; ++i) pause *= 2;
+  start_at_ = now + std::min(pause, limits_.longest_pause);
+}
+
+void Instance::Start(TimePoint now, std::vector<Action>& actions) {
+  // Counts from each start of a step: one that ends at once has not used up the next one's time.
+  if (record_.phase == Phase::kAccepted) started_at_ = now;
+  // Until it is seen to run, or a pause has passed: a start that failed looks like one that has not happened.
+  start_at_ = now + limits_.first_pause;
+  was_running_ = true;
+  actions.push_back({Action::Kind::kStart, record_.generation, record_.token, {}});
+}
+
+}  // namespace mothrack::fleet
--- /dev/null
+++ b/fleet/instance.h
@@ -0,0 +1,107 @@
+// An agent's decisions on one instance: it keeps it running, restarts it with back-off, holds a crash loop,
+// and carries a step to its known end, through its own death at any point.
+//
+// Driven by looks: what is seen of the process now, against what is wanted, gives the next actions. Nothing
+// but the record need survive the agent: which step was accepted, and how it ended. How far a step had come
+// is seen from the process itself, which carries the token of the step it was started for. So no start is
+// ever repeated after a crash, whatever the agent was about to do; and a stop only where the process can't
+// tell that it drains, which a second stop does no harm.
+//
+// A value, like LeaseBook: a copy takes a step, its record is made durable, then the copy is kept. What
+// Look() changes in the record is made durable where the disk takes it; until then the end of a step is not
+// told.
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/types.h"
+
+namespace mothrack::fleet {
+
+// What survives the agent.
+struct InstanceRecord {
+  bool wanted = true;      // is to run
+  std::string generation;  // that it is to run with
+  std::string token;       // of the step that it was last started for; empty before any
+  Step step;               // the last one taken
+  Phase phase = Phase::kNone;
+  std::string why;  // of kFailed
+  bool operator==(const InstanceRecord&) const = default;
+};
+
+struct InstanceLimits {
+  Duration stop{15'000};      // for a planned stop; then it is killed
+  Duration ready{10'000};     // from a start until it says that it is ready
+  Duration first_pause{200};  // before it is started again after it ended by itself; doubles each time
+  Duration longest_pause{30'000};
+  std::size_t crashes = 5;  // as many ends within `crash_window` are a crash loop: it is held
+  Duration crash_window{60'000};
+  std::size_t step_starts = 3;  // a step that saw as many of its processes end has failed
+};
+
+// The process, as it is seen now.
+struct Seen {
+  bool running = false;
+  std::string token;       // that it was started with
+  std::string generation;  // likewise
+  bool ready = false;      // by its own door
+  bool draining = false;   // likewise
+};
+
+struct Action {
+  enum class Kind {
+    kStart,  // with `generation` and `token`
+    kStop,   // a planned stop
+    kKill,   // it ignores the planned stop
+    kSay,    // `line`, for the people on call
+  };
+  Kind kind = Kind::kSay;
+  std::string generation{};
+  std::string token{};
+  std::string line{};
+};
+
+class Instance {
+ public:
+  enum class Verdict {
+    kTaken,  // now, or before: a repeated command is told what became of it by the report
+    kBusy,   // with another step that has not ended
+    kStale,  // it has taken the undo of this change already
+  };
+
+  Instance(InstanceRecord record, const InstanceLimits& limits)
+      : record_(std::move(record)), limits_(limits) {}
+
+  Verdict Take(const Step& step);
+  // Appends what is to be done. Call it at least every `first_pause`, and whenever the process changed.
+  void Look(const Seen& seen, TimePoint now, std::vector<Action>& actions);
+
+  const InstanceRecord& record() const { return record_; }
+  bool held() const { return held_; }
+
+ private:
+  void Finish(Phase phase, const std::string& why, std::vector<Action>& actions);
+  void StepOn(const Seen& seen, TimePoint now, std::vector<Action>& actions);
+  void Supervise(const Seen& seen, TimePoint now, std::vector<Action>& actions);
+  void Stop(const Seen& seen, TimePoint now, std::vector<Action>& actions);
+  // It ended, and nobody had told it to: when to start it again.
+  void NoteEnd(TimePoint now);
+  void Start(TimePoint now, std::vector<Action>& actions);
+
+  InstanceRecord record_;
+  InstanceLimits limits_;
+  // Of this agent's life only.
+  bool was_running_ = false;
+  std::optional<TimePoint> stopping_since_;
+  bool killed_ = false;
+  std::optional<TimePoint> started_at_;  // the step's process was first seen or started
+  std::size_t step_ends_ = 0;            // of the step's processes
+  std::optional<TimePoint> start_at_;    // not before
+  std::deque<TimePoint> ends_;           // within the crash window
+  bool held_ = false;
+};
+
+}  // namespace mothrack::fleet
--- /dev/null
+++ b/fleet/lease.h
@@ -0,0 +1,64 @@
+// An agent's part in who may change the fleet. A holder needs the lease of every agent that its change
+// touches, and of a majority of all agents: so there is one holder at a time, and no agent that it commands
+// has granted an older one. Each agent counts the lease's time by its own steady clock, from when it granted
+// or renewed it; the holder counts from when it asked, and stops at half the time (fleet/change.h). A holder
+// that went silent thus knows that it has lost the lease before any agent gives it to another, by any clocks
+// that run at about the same rate, wherever they stand.
+//
+// Before its first step a change is opened at every agent whose lease it has, and closed only once it has
+// come to an end that leaves nothing to do. While one is open an agent grants the lease to it alone: its
+// steps are finished or undone before another change begins.
+//
+// A value: let a copy decide, make its state durable, then keep the copy. Answers go out only after that.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "fleet/types.h"
+
+namespace mothrack::fleet {
+
+// What must be on disk before an answer goes out.
+struct LeaseState {
+  Epoch highest = 0;             // ever granted here
+  std::optional<Holder> holder;  // of `highest`, until it is released
+  std::optional<Holder> open;    // the change that is not closed yet, and who opened it
+  bool operator==(const LeaseState&) const = default;
+};
+
+class LeaseBook {
+ public:
+  enum class Verdict {
+    kGranted,
+    kHeld,    // by another, whose time is not over
+    kOpen,    // another change is
+    kFenced,  // the epoch is not above all that were granted here, or is not the latest
+    kLapsed,  // the epoch is the latest, but its time was over: ask for a new one
+  };
+
+  // After a restart of the agent a lease that was held has its whole time again: nobody knows how much was
+  // left.
+  LeaseBook(LeaseState state, Duration time, TimePoint now)
+      : state_(std::move(state)), time_(time), until_(now + time) {}
+
+  // A new holder. One of the same change takes over from itself: it is its tool that was started again.
+  Verdict Acquire(Epoch epoch, const Holder& holder, TimePoint now);
+  // May a command of this epoch and tool be taken? That renews the lease.
+  Verdict Use(Epoch epoch, const std::string& tool, TimePoint now);
+  // The holder's change begins.
+  Verdict Open(Epoch epoch, const std::string& tool, TimePoint now);
+  // The holder is done; with `close`, so is its change. Of another epoch or tool: nothing happens.
+  void Release(Epoch epoch, const std::string& tool, bool close);
+
+  const LeaseState& state() const { return state_; }
+  // Who holds it; nobody once the time is over.
+  std::optional<Holder> holder(TimePoint now) const;
+
+ private:
+  LeaseState state_;
+  Duration time_;
+  TimePoint until_;
+};
+
+}  // namespace mothrack::fleet
--- /dev/null
+++ b/fleet/plan.h
@@ -0,0 +1,53 @@
+// What a change is to do, in which order. Made once, and then the same wherever the change is carried on.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/types.h"
+
+namespace mothrack::fleet {
+
+struct Target {
+  InstanceName name;
+  std::string hall;
+  std::string from;  // generation that it has when the plan is made: an undo goes back to it
+  std::string to;    // the same for a mere restart
+  bool operator==(const Target&) const = default;
+};
+
+enum class OnFailure { kHold, kRollBack };
+
+struct Policy {
+  std::size_t max_unavailable = 1;  // instances that are down at once for the change's sake, in one hall
+  bool canary = true;               // the first instance goes alone
+  OnFailure on_failure = OnFailure::kHold;
+  Duration step_limit{60'000};        // for a batch's steps to end
+  Duration watch{2'000};              // for which a batch must look well after its steps
+  Duration unreachable_limit{5'000};  // without a word of an agent that is needed
+  // Refused and failed requests of an instance, as a share of all it took while it is watched, may exceed the
+  // share before the change by so much; fewer requests than `least_requests` tell nothing.
+  double worse_by = 0.05;
+  std::uint64_t least_requests = 20;
+  bool operator==(const Policy&) const = default;
+};
+
+struct Plan {
+  std::string id;
+  std::string who;
+  std::string why;
+  StepKind kind = StepKind::kRestart;  // kStop: of instances of one hall only
+  std::vector<Target> targets;
+  Policy policy;
+  bool operator==(const Plan&) const = default;
+};
+
+// What is wrong with a plan, with the mend; nothing where it can be carried out.
+std::optional<std::string> FaultOf(const Plan& plan);
+
+// The targets' indices in the order in which they go: the canary, then hall by hall, in the order in which
+// halls are first named, at most `max_unavailable` at once. No batch has targets of two halls.
+std::vector<std::vector<std::size_t>> Batches(const Plan& plan);
+
+}  // namespace mothrack::fleet
--- /dev/null
+++ b/fleet/types.h
@@ -0,0 +1,73 @@
+// Words that the fleet's decisions share. Pure: nothing here does I/O or reads a clock. A TimePoint is of one
+// machine's steady clock and is never compared with another machine's.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace mothrack::fleet {
+
+using Duration = std::chrono::milliseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+// The right to change the fleet, numbered: each holder's epoch is greater than that of any holder before it.
+using Epoch = std::uint64_t;
+
+// Who changes what, for the others to read.
+struct Holder {
+  std::string change;  // id of the change
+  std::string who;
+  std::string why;
+  std::int64_t since_unix_ms = 0;
+  std::string tool;  // differs for each run of a tool: two that chose the same epoch are told apart by it
+  bool operator==(const Holder&) const = default;
+};
+
+// One instance of a fleet.
+struct InstanceName {
+  std::string agent;
+  std::string instance;
+  auto operator<=>(const InstanceName&) const = default;
+};
+
+enum class StepKind {
+  kRestart,  // a planned stop, then a start with the step's generation
+  kStop,     // a planned stop; it stays down
+};
+
+// What one instance is to do for a change. The same instance gets at most two steps of one change: `undo`
+// comes after the other, never before it.
+struct Step {
+  std::string change;
+  StepKind kind = StepKind::kRestart;
+  bool undo = false;
+  std::string generation;  // of the configuration that it is to run with afterwards
+  bool operator==(const Step&) const = default;
+
+  // Names this step among all of a fleet; a process carries the token of the step that it was started for.
+  std::string token() const { return change + (undo ? "/undo" : "/do"); }
+};
+
+enum class Phase { kNone, kAccepted, kDone, kFailed };
+
+// What an agent says of one instance, to whoever asks.
+struct Report {
+  // The last step that it took, and how far it is; `phase` is kNone before any.
+  Step step;
+  Phase phase = Phase::kNone;
+  std::string why;  // of kFailed
+  // The process as it is now.
+  bool running = false;
+  bool ready = false;
+  bool held = false;       // it crashed too often and is not started again
+  std::string generation;  // that it runs with
+  // Requests since the process started.
+  std::uint64_t taken = 0;
+  std::uint64_t bad = 0;  // refused or failed
+
+  // Does it serve, and will it go on doing so by all that is planned?
+  bool available() const { return running && ready && phase != Phase::kAccepted; }
+};
+
+}  // namespace mothrack::fleet
