Fleet: what longer histories found: failed steps, moved states, closed and resumed changes

Need: a thousand histories passed, longer ones with late commands, aborts and changes begun regardless did not.

Change: a failed step is taken again from a later holder; a step names the generation that it starts from and is refused where that moved; only a change that is still open somewhere is resumed; turning back undoes every batch, the one in trouble first; the time without a word counts from a change's first turn.

--- a/fleet/change.cpp
+++ b/fleet/change.cpp
@@ -23,16 +23,15 @@
 
 }  // namespace
 
-Change::Change(Plan plan, Aim aim, Duration lease_time, TimePoint leased_at)
+Change::Change(Plan plan, Aim aim, Epoch epoch, Duration lease_time, TimePoint leased_at)
     : plan_(std::move(plan)),
       aim_(aim),
+      epoch_(epoch),
       lease_time_(lease_time),
       batches_(Batches(plan_)),
-      progress_(plan_.targets.size()),
-      entered_(leased_at) {
+      progress_(plan_.targets.size()) {
   if (aim_ == Aim::kUndo) std::reverse(batches_.begin(), batches_.end());
   for (const Target& target : plan_.targets) leased_[target.name.agent] = leased_at;
-  for (Progress& progress : progress_) progress.heard = leased_at;
 }
 
 void Change::Heard(const InstanceName& name, std::uint64_t number, const Report& report, TimePoint asked_at) {
@@ -63,6 +62,12 @@
 
 void Change::Turn(TimePoint now, std::vector<ChangeCommand>& commands) {
   if (end_) return;
+  if (!started_) {
+    // The time without a word counts from here: claiming many agents one by one takes its own.
+    started_ = true;
+    entered_ = now;
+    for (Progress& progress : progress_) progress.heard = now;
+  }
   if (fenced_) return Finish(ChangeEnd::kHeld, fault_, commands);
   if (aborted_) return Finish(ChangeEnd::kAborted, "aborted by its operator", commands);
   if (const std::string agent = Silent(now); !agent.empty()) {
@@ -113,13 +118,14 @@
   const Target& t = plan_.targets[target];
   const bool undo = aim_ == Aim::kUndo;
   // What was stopped runs again after its undo.
-  return {plan_.id, undo ? StepKind::kRestart : plan_.kind, undo, undo ? t.from : t.to};
+  return {plan_.id, undo ? StepKind::kRestart : plan_.kind, undo, undo ? t.from : t.to, epoch_, t.from};
 }
 
 bool Change::Taken(std::size_t target) const {
   const auto& report = progress_[target].report;
-  return report && report->phase != Phase::kNone && report->step.change == plan_.id &&
-         report->step.undo == (aim_ == Aim::kUndo);
+  if (!report || report->phase == Phase::kNone || report->step.change != plan_.id) return false;
+  const bool failed_before = report->phase == Phase::kFailed && report->step.epoch < epoch_;
+  return report->step.undo == (aim_ == Aim::kUndo) && !failed_before;
 }
 
 bool Change::Touched(std::size_t target) const {
@@ -150,7 +156,11 @@
   commands.push_back({ChangeCommand::Kind::kSay, {}, {}, 0, plan_.id + " turns back: " + why});
   trouble_ = why;
   aim_ = Aim::kUndo;
-  batches_.resize(batch_ + 1);
+  // The one that is in trouble first, as no other may begin before it is well. And all of them: an earlier
+  // holder may have come further than this one, which began at the first again.
+  const std::vector<std::size_t> current = batches_[batch_];
+  batches_.erase(batches_.begin() + static_cast<std::ptrdiff_t>(batch_));
+  batches_.push_back(current);
   std::reverse(batches_.begin(), batches_.end());
   for (Progress& progress : progress_) progress.before.reset(), progress.done.reset();
   Enter(0, now);
--- a/fleet/change.h
+++ b/fleet/change.h
@@ -51,9 +51,9 @@
  public:
   enum class Aim { kForward, kUndo };
 
-  // `plan` has no fault. The lease of every agent that it touches was granted no earlier than `leased_at`,
-  // and counts for `lease_time` there.
-  Change(Plan plan, Aim aim, Duration lease_time, TimePoint leased_at);
+  // `plan` has no fault. `epoch`: of the lease that it is held by. The lease of every agent that it touches
+  // was granted no earlier than `leased_at`, and counts for `lease_time` there.
+  Change(Plan plan, Aim aim, Epoch epoch, Duration lease_time, TimePoint leased_at);
 
   // What agents answer. `asked_at`: when the question left, of this clock.
   void Heard(const InstanceName& name, std::uint64_t number, const Report& report, TimePoint asked_at);
@@ -83,7 +83,8 @@
     std::optional<Report> done;      // when its step was first seen to have ended well
   };
 
-  // Has the target's agent taken this change's step, in the direction that it goes now?
+  // Has the target's agent taken this change's step, in the direction that it goes now? One that failed for
+  // an earlier holder is tried again.
   bool Taken(std::size_t target) const;
   // Is there anything to undo, or may there be?
   bool Touched(std::size_t target) const;
@@ -107,12 +108,14 @@
 
   const Plan plan_;
   Aim aim_;
+  const Epoch epoch_;
   const Duration lease_time_;
   std::vector<std::vector<std::size_t>> batches_;  // in the order in which they go now
   std::vector<Progress> progress_;                 // by target
   std::map<std::string, TimePoint> leased_;        // by agent: when the question left that it confirmed last
   std::optional<TimePoint> renewed_at_;            // the last question
   std::uint64_t last_number_ = 0;
+  bool started_ = false;
   std::size_t batch_ = 0;
   TimePoint entered_;               // the batch is the current one
   std::optional<TimePoint> began_;  // its first step was commanded
--- a/fleet/claim.cpp
+++ b/fleet/claim.cpp
@@ -15,18 +15,24 @@
 
 }  // namespace
 
-Claim::Claim(std::set<std::string> agents, std::set<std::string> needed, Duration patience, TimePoint now)
-    : agents_(std::move(agents)), needed_(std::move(needed)), patience_(patience), since_(now) {}
+Claim::Claim(std::set<std::string> agents, std::set<std::string> needed, bool resumes, Duration patience,
+             TimePoint now)
+    : agents_(std::move(agents)),
+      needed_(std::move(needed)),
+      resumes_(resumes),
+      patience_(patience),
+      since_(now) {}
 
 void Claim::Looked(const std::string& agent, Epoch highest) {
   if (epoch_ == 0 && agents_.contains(agent)) looked_[agent] = highest;
 }
 
 void Claim::Answered(const std::string& agent, Epoch epoch, LeaseBook::Verdict verdict,
-                     const std::optional<Holder>& holder) {
+                     const std::optional<Holder>& holder, bool open) {
   if (epoch != epoch_ || next_ >= order_.size() || order_[next_] != agent || !asked_) return;
   if (verdict == LeaseBook::Verdict::kGranted) {
     got_.insert(agent);
+    open_somewhere_ = open_somewhere_ || open;
     ++next_;
     asked_ = false;
   } else {
@@ -72,6 +78,7 @@
   if (next_ < order_.size()) return Ask(now, commands);
   if (!Enough(got_)) return Refuse("can't be reached: " + Missing(got_), commands);
   if (!opening_) {
+    if (resumes_ && !open_somewhere_) return Refuse("the change has come to its end meanwhile", commands);
     opening_ = true;
     got_.clear();
     next_ = 0;
--- a/fleet/claim.h
+++ b/fleet/claim.h
@@ -26,12 +26,15 @@
  public:
   // `agents`: all of the fleet. `needed`: those that the change touches; a majority of all is needed besides.
   // An agent that does not answer within `patience` counts as not to be reached.
-  Claim(std::set<std::string> agents, std::set<std::string> needed, Duration patience, TimePoint now);
+  // `resumes`: the change was opened before; it must still be open somewhere, or it has come to an end
+  // meanwhile.
+  Claim(std::set<std::string> agents, std::set<std::string> needed, bool resumes, Duration patience,
+        TimePoint now);
 
   void Looked(const std::string& agent, Epoch highest);
-  // Of kAcquire and kOpen alike; `holder`: who is in the way.
+  // Of kAcquire and kOpen alike; `holder`: who is in the way; `open`: this change is, there.
   void Answered(const std::string& agent, Epoch epoch, LeaseBook::Verdict verdict,
-                const std::optional<Holder>& holder);
+                const std::optional<Holder>& holder, bool open);
 
   // Call it after each of the above, and at least every kTurn.
   static constexpr Duration kTurn{100};
@@ -54,6 +57,7 @@
 
   const std::set<std::string> agents_;
   const std::set<std::string> needed_;
+  const bool resumes_;
   const Duration patience_;
   TimePoint since_;       // of the question that is out
   TimePoint again_;       // when it was put last
@@ -68,6 +72,7 @@
   std::optional<TimePoint> first_asked_;
   std::optional<Granted> granted_;
   std::string refused_;
+  bool open_somewhere_ = false;
   std::string fault_;  // for the next turn
 };
 
--- a/fleet/instance.cpp
+++ b/fleet/instance.cpp
@@ -6,10 +6,12 @@
 
 Instance::Verdict Instance::Take(const Step& step) {
   const bool same_change = record_.phase != Phase::kNone && record_.step.change == step.change;
-  if (same_change && record_.step.undo == step.undo) return Verdict::kTaken;
-  if (same_change && record_.step.undo) return Verdict::kStale;
+  const bool tried_again = record_.phase == Phase::kFailed && step.epoch > record_.step.epoch;
+  if (same_change && record_.step.undo == step.undo && !tried_again) return Verdict::kTaken;
+  if (same_change && record_.step.undo && !step.undo) return Verdict::kStale;
   // An undo takes over from its own change's step at any point; every other step waits its turn.
   if (record_.phase == Phase::kAccepted && !same_change) return Verdict::kBusy;
+  if (!step.undo && !same_change && record_.generation != step.from) return Verdict::kMoved;
   record_.step = step;
   if (step.undo && !same_change) {
     // Nothing is to be undone; but the step itself may still be on its way, and is stale from now on.
--- a/fleet/instance.h
+++ b/fleet/instance.h
@@ -70,6 +70,7 @@
     kTaken,  // now, or before: a repeated command is told what became of it by the report
     kBusy,   // with another step that has not ended
     kStale,  // it has taken the undo of this change already
+    kMoved,  // it has another generation than the one that the change starts from
   };
 
   Instance(InstanceRecord record, const InstanceLimits& limits)
--- a/fleet/types.h
+++ b/fleet/types.h
@@ -36,17 +36,19 @@
   kStop,     // a planned stop; it stays down
 };
 
-// What one instance is to do for a change. The same instance gets at most two steps of one change: `undo`
-// comes after the other, never before it.
+// What one instance is to do for a change: once, and once more where it failed and a later holder tries
+// again. An `undo` comes after the step, never before it.
 struct Step {
   std::string change;
   StepKind kind = StepKind::kRestart;
   bool undo = false;
   std::string generation;  // of the configuration that it is to run with afterwards
+  Epoch epoch = 0;         // of the holder that commands it
+  std::string from{};      // generation that it must have before, or the plan was made of another state
   bool operator==(const Step&) const = default;
 
   // Names this step among all of a fleet; a process carries the token of the step that it was started for.
-  std::string token() const { return change + (undo ? "/undo" : "/do"); }
+  std::string token() const { return change + (undo ? "/undo." : "/do.") + std::to_string(epoch); }
 };
 
 enum class Phase { kNone, kAccepted, kDone, kFailed };
--- a/tests/changes_model.h
+++ b/tests/changes_model.h
@@ -17,6 +17,7 @@
   int refused_claims = 0;
   int fenced = 0;
   int undone = 0;
+  int aborted = 0;
   int saves_failed = 0;
 };
 
