--- a/admin/door.h
+++ b/admin/door.h
@@ -1,24 +1,19 @@
-// The sidecar's own door for operators: HTTP/1.1 and JSON on a Unix socket or a loopback address.
+// The sidecar's own door for operators, on a Unix socket or a loopback address (see admin/server.h).
 //
 //   GET  /v1/status[?after=ID]   what Source::status tells; `after` pages through long lists of upstreams
 //   POST /v1/reload              reads the configuration again: 200, or 409 with the fault, the old one stays
 //   POST /v1/drain               begins the planned stop: 202
 //
-// An address wants `Authorization: Bearer TOKEN` (RFC 6750 section 2.1). Errors are {"error": text}. One
-// connection is served at a time, one request on each, within kPatience; others wait in the system's backlog.
-// More than kPerSecond answers a second are refused with 429 unlooked at, so that whoever polls can't take
-// the time that requests need.
+// An address wants `Authorization: Bearer TOKEN` (RFC 6750 section 2.1). More than kPerSecond answers a second
+// are refused with 429 unlooked at, so that whoever polls can't take the time that requests need.
 #pragma once
 
-#include <boost/asio/generic/stream_protocol.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <cstdint>
 #include <functional>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "admin/server.h"
 #include "admin/settings.h"
 #include "core/clock.h"
 #include "core/log.h"
@@ -36,32 +31,24 @@
  public:
   // Listens at once. Throws std::runtime_error, which names the place, where it can't.
   Door(boost::asio::io_context& io, const Settings& settings, Source source, Logger& log);
-  ~Door();
-  Door(const Door&) = delete;
-  Door& operator=(const Door&) = delete;
 
-  // Open all the time: the listening socket and one connection.
-  static constexpr std::size_t kFixedDescriptors = 2;
+  static constexpr std::size_t kConnections = 4;
+  // Open all the time: the listening socket and its connections.
+  static constexpr std::size_t kFixedDescriptors = 1 + kConnections;
 
-  std::string local() const;
+  std::string local() const { return server_.local(); }
 
  private:
-  class Visit;
-  using Protocol = boost::asio::generic::stream_protocol;
-
-  void Accept();
-  void AcceptLater();
+  std::vector<Route> Routes();
+  std::optional<Answer> Guard(const Call& call);
   bool MayAnswer();
 
-  boost::asio::io_context& io_;
   const Settings settings_;
   const Source source_;
   Logger& log_;
-  boost::asio::basic_socket_acceptor<Protocol> acceptor_;
-  boost::asio::steady_timer pause_;
-  std::shared_ptr<Visit> visit_;  // the one at a time
   double allowed_;
   TimePoint refilled_;
+  Server server_;  // last: it calls the rest
 };
 
 }  // namespace mothrack::admin
--- /dev/null
+++ b/admin/ops.cpp
@@ -0,0 +1,52 @@
+#include "admin/ops.h"
+
+#include <utility>
+
+namespace mothrack::admin {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMostBody = 4096;
+constexpr std::size_t kLongestId = 256;
+
+}  // namespace
+
+Ops::Ops(boost::asio::io_context& io, const Endpoint& endpoint, OpsSource source, Logger& log)
+    : source_(std::move(source)),
+      log_(log),
+      server_(io, {"LB_OPS", {}, endpoint}, {kConnections, kMostBody}, "ops: ", Routes(), nullptr, log) {}
+
+std::vector<Route> Ops::Routes() {
+  const auto drain = [this](bool on) {
+    if (!source_.drain(on)) return Fault(409, "a planned stop is under way and can't be taken back");
+    log_.Line(on ? "ops: drain" : "ops: drain ended, takes clients again");
+    return Answer{200, {{"draining", on}}};
+  };
+  return {{"GET", "/ops/readiness",
+           [this](const Call&) {
+             const bool ready = source_.ready();
+             return Answer{ready ? 200U : 503U, {{"ready", ready}}};
+           }},
+          {"GET", "/ops/stats", [this](const Call&) { return Answer{200, source_.stats()}; }},
+          {"PUT", "/ops/upstreams/down",
+           [this](const Call& call) { return OfUpstream(call, source_.ban, "down"); }},
+          {"PUT", "/ops/upstreams/up",
+           [this](const Call& call) { return OfUpstream(call, source_.unban, "up"); }},
+          {"PUT", "/ops/drain/start", [drain](const Call&) { return drain(true); }},
+          {"PUT", "/ops/drain/stop", [drain](const Call&) { return drain(false); }}};
+}
+
+Answer Ops::OfUpstream(const Call& call, const std::function<bool(const std::string&)>& act,
+                       const char* done) {
+  const json body = json::parse(call.body, nullptr, false);
+  const auto name = body.is_object() ? body.find("name") : body.end();
+  if (name == body.end() || !name->is_string()) return Fault(400, R"(give the upstream as {"name":"ID"})");
+  const auto uid = name->get<std::string>();
+  if (uid.empty() || uid.size() > kLongestId) return Fault(400, "name is empty or longer than any id");
+  if (!act(uid)) return Fault(404, "no upstream of this name was ever listed");
+  log_.Line(std::string("ops: ") + done + ' ' + uid);
+  return {200, {{"name", uid}, {"state", done}}};
+}
+
+}  // namespace mothrack::admin
--- a/admin/report.cpp
+++ b/admin/report.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <system_error>
+#include <vector>
 
 namespace mothrack::admin {
 namespace {
@@ -98,4 +99,36 @@
           {"more", next != views.end()}};
 }
 
+json Figures(const Dispatcher& dispatcher) {
+  struct Sums {
+    std::uint64_t answered = 0, deferred = 0, errored = 0, sends = 0;
+  };
+  const auto& classes = dispatcher.settings().classes;
+  std::vector<Sums> sums(classes.size());
+  for (const Tally::Row& row : dispatcher.tally().rows()) {
+    Sums& sum = sums[static_cast<std::size_t>(row.request_class)];
+    sum.answered += row.Of(Tally::Outcome::kServed);
+    sum.deferred += row.Of(Tally::Outcome::kRefused);
+    sum.errored += row.Of(Tally::Outcome::kFailed) + row.Of(Tally::Outcome::kLate);
+    sum.sends += row.sent;
+  }
+  json transactions = json::object();
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    const Sums& sum = sums[i];
+    transactions[classes[i].name] = {{"answered", sum.answered},
+                                     {"deferred", sum.deferred},
+                                     {"errored", sum.errored},
+                                     {"sends", sum.sends}};
+  }
+  const Roster& roster = dispatcher.roster();
+  std::size_t avoided = 0;
+  for (const auto& view : dispatcher.upstreams()) {
+    avoided += view.ejected_until.has_value() || roster.bans().contains(view.id.value);
+  }
+  return {{"transactions", std::move(transactions)},
+          {"current", dispatcher.owed()},
+          {"cluster_size", roster.listed()},
+          {"cluster_unhealthy", avoided}};
+}
+
 }  // namespace mothrack::admin
--- a/admin/report.h
+++ b/admin/report.h
@@ -18,6 +18,10 @@
 inline constexpr std::size_t kMostUpstreams = 100;
 nlohmann::json PoolReport(const std::string& name, const Dispatcher& dispatcher, const std::string& after);
 
+// The platform's figures: by class what became of requests and the attempts written whole, since the process
+// began; what is open now; upstreams in the list, and those of them that are avoided, by hand or by choice.
+nlohmann::json Figures(const Dispatcher& dispatcher);
+
 // Now, as the system's clock has it.
 std::int64_t UnixMilliseconds();
 
--- /dev/null
+++ b/admin/server.h
@@ -0,0 +1,95 @@
+// Where operators call: HTTP/1.1 with JSON answers on a Unix socket or an address. One call a connection. Up to
+// a bound of connections are open at once, each for kPatience at most; where another comes, the one goes that has
+// waited longest for the rest of its call. So a caller that holds its connection never keeps another waiting.
+// Errors are {"error": text}.
+#pragma once
+
+#include <boost/asio/generic/stream_protocol.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/address.h"
+#include "core/clock.h"
+#include "core/log.h"
+
+namespace mothrack::admin {
+
+struct Call {
+  std::string method;
+  std::string path;   // of the target, without its query
+  std::string query;  // as it came, without the question mark
+  std::string authorization;
+  std::string body;
+};
+
+struct Answer {
+  unsigned status = 200;
+  nlohmann::json body;
+};
+
+inline Answer Fault(unsigned status, const std::string& why) { return {status, {{"error", why}}}; }
+
+// What is asked of a server; the others are told which there are.
+struct Route {
+  std::string method;
+  std::string path;
+  std::function<Answer(const Call&)> serve;
+};
+
+struct Place {
+  std::string setting;               // that names it, for what can't be listened on
+  std::string unix_path;             // empty: there is an address
+  std::optional<Endpoint> endpoint;  // TCP
+};
+
+class Server {
+ public:
+  // Looks at each call before any route: an answer is all that it gets.
+  using Guard = std::function<std::optional<Answer>(const Call&)>;
+
+  struct Bounds {
+    std::size_t connections = 4;
+    std::size_t body = 0;  // bytes
+  };
+
+  // Listens at once. `label` begins its log lines. Throws std::runtime_error, which names the place, where it
+  // can't.
+  Server(boost::asio::io_context& io, Place place, Bounds bounds, std::string label, std::vector<Route> routes,
+         Guard guard, Logger& log);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  std::string local() const;
+
+ private:
+  class Visit;
+  using Protocol = boost::asio::generic::stream_protocol;
+
+  void Accept();
+  void AcceptLater();
+  void MakeRoom();
+  Answer Serve(const Call& call);
+  Answer Refuse(const Call& call, unsigned status, const std::string& reason, const std::string& told);
+
+  boost::asio::io_context& io_;
+  const Place place_;
+  const Bounds bounds_;
+  const std::string label_;
+  const std::vector<Route> routes_;
+  const Guard guard_;
+  Logger& log_;
+  boost::asio::basic_socket_acceptor<Protocol> acceptor_;
+  boost::asio::steady_timer pause_;
+  std::list<std::shared_ptr<Visit>> visits_;  // the oldest first
+};
+
+}  // namespace mothrack::admin
--- a/core/acceptor.cpp
+++ b/core/acceptor.cpp
@@ -1,5 +1,9 @@
 #include "core/acceptor.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/detail/socket_option.hpp>
 #include <boost/system/error_code.hpp>
 #include <utility>
 
@@ -19,22 +23,37 @@
 
 }  // namespace
 
-Acceptor::Acceptor(boost::asio::io_context& io, const Endpoint& endpoint, std::string label, Owner& owner,
+Acceptor::Acceptor(boost::asio::io_context& io, const ListenOn& where, std::string label, Owner& owner,
                    Logger& log)
-    : io_(io), label_(std::move(label)), owner_(owner), log_(log), socket_(io), pause_(io) {
-  socket_.open(endpoint.protocol());
-  // A start after a kill must not wait for the former process's connections to be forgotten.
-  socket_.set_option(boost::asio::socket_base::reuse_address(true));
-  socket_.bind(endpoint);
-  socket_.listen(boost::asio::socket_base::max_listen_connections);
+    : io_(io),
+      label_(std::move(label)),
+      owner_(owner),
+      log_(log),
+      socket_(io),
+      pause_(io),
+      paused_(where.paused) {
+  const auto protocol = where.endpoint.protocol();
+  if (where.taken >= 0) {
+    socket_.assign(protocol, where.taken);
+  } else {
+    socket_.open(protocol);
+    // A start after a kill must not wait for the former process's connections to be forgotten.
+    socket_.set_option(boost::asio::socket_base::reuse_address(true));
+    if (where.share_port) {
+      socket_.set_option(boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+    }
+    socket_.bind(where.endpoint);
+    socket_.listen(boost::asio::socket_base::max_listen_connections);
+  }
   socket_.non_blocking(true);
   Wait();
 }
 
 // Waits for a client before making room for it, and without a descriptor of its own.
 void Acceptor::Wait() {
+  if (paused_) return;
   socket_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
-    if (!error && socket_.is_open()) Accept();
+    if (!error && socket_.is_open() && !paused_) Accept();
   });
 }
 
@@ -70,6 +89,25 @@
   Wait();
 }
 
+void Acceptor::Pause() {
+  paused_ = true;
+  boost::system::error_code ignored;
+  socket_.cancel(ignored);
+}
+
+void Acceptor::Resume() {
+  if (!std::exchange(paused_, false) || !socket_.is_open()) return;
+  Wait();
+}
+
+// Closing alone would leave it in this process's epoll set, since the other process keeps it open.
+void Acceptor::Release() {
+  if (!socket_.is_open()) return;
+  boost::system::error_code ignored;
+  const int handle = socket_.release(ignored);
+  if (!ignored) ::close(handle);
+}
+
 void Acceptor::Close() {
   error_code error;
   while (!error) {
--- a/core/acceptor.h
+++ b/core/acceptor.h
@@ -13,6 +13,15 @@
 
 namespace mothrack {
 
+// Where to listen.
+struct ListenOn {
+  ListenOn(Endpoint endpoint) : endpoint(std::move(endpoint)) {}  // NOLINT: an endpoint alone is the usual case
+  Endpoint endpoint;
+  int taken = -1;           // a socket that listens already, to be taken over; the endpoint tells its protocol
+  bool share_port = false;  // another process of the same user may listen there, too (SO_REUSEPORT)
+  bool paused = false;      // accepts only after Resume()
+};
+
 class Acceptor {
  public:
   class Owner {
@@ -29,13 +38,20 @@
 
   // Binds and listens, and calls `owner` from the event loop until Close(); throws
   // boost::system::system_error. `label` begins its log lines, as "dns: ".
-  Acceptor(boost::asio::io_context& io, const Endpoint& endpoint, std::string label, Owner& owner,
+  Acceptor(boost::asio::io_context& io, const ListenOn& where, std::string label, Owner& owner,
            Logger& log);
 
   Endpoint local() const { return socket_.local_endpoint(); }
   bool is_open() const { return socket_.is_open(); }
   // What waits in the backlog counts as taken: it is admitted before the socket closes.
   void Close();
+  // Leaves what comes to another process that has the same socket; accepts again.
+  void Pause();
+  void Resume();
+  // Gives up this process's hold of the socket; the other one's goes on, with what waits in the backlog.
+  void Release();
+  bool paused() const { return paused_; }
+  int native_handle() { return socket_.native_handle(); }
 
  private:
   void Wait();
@@ -48,6 +64,7 @@
   Logger& log_;
   boost::asio::ip::tcp::acceptor socket_;
   boost::asio::steady_timer pause_;
+  bool paused_ = false;
 };
 
 }  // namespace mothrack
--- a/core/descriptors.h
+++ b/core/descriptors.h
@@ -1,6 +1,7 @@
 // Counts the sockets that are open, against the limit that the deployment sets.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 
 namespace mothrack {
@@ -13,7 +14,15 @@
 
   // `further`: more that are open all the time.
   explicit Descriptors(std::size_t limit, std::size_t further = 0)
-      : limit_(limit > kFixed + further ? limit - kFixed - further : 1) {}
+      : fixed_(kFixed + further), full_(limit > fixed_ ? limit - fixed_ : 1), limit_(full_) {}
+
+  // Another process of this sidecar may hold some of them: this one may not have more than `most` by now. What
+  // is over stays until it is closed.
+  void Cap(std::size_t most) { limit_ = std::clamp<std::size_t>(most, 1, full_); }
+  void Uncap() { limit_ = full_; }
+  std::size_t full() const { return full_; }
+  std::size_t fixed() const { return fixed_; }
+  std::size_t used() const { return clients_ + upstreams_; }
 
   enum class Side { kClient, kUpstream };
 
@@ -39,6 +48,8 @@
   }
 
  private:
+  std::size_t fixed_;
+  std::size_t full_;
   std::size_t limit_;
   std::size_t clients_ = 0;
   std::size_t upstreams_ = 0;
--- a/core/dispatcher.cpp
+++ b/core/dispatcher.cpp
@@ -61,31 +61,41 @@
 
 // The module hears of the list before it hears of attempts that the list ended, and acts on it only when the
 // transport knows it too: else it would send again to what drains, or to what is not known yet.
-void Dispatcher::Apply(MembershipList list) {
+void Dispatcher::Tell(MembershipList list) {
   {
     const Busy busy(delivering_);
-    if (list.update.kind != MembershipUpdate::Kind::kChanges) {
-      for (const std::string& uid : known_) {
-        if (!list.locations.contains(uid)) list.locations[uid].state = kestrellb::UpstreamState::kGone;
-      }
-    }
     events_.push_back(std::move(list.update));
-    for (const auto& [uid, location] : list.locations) {
-      if (location.state == kestrellb::UpstreamState::kGone) {
-        known_.erase(uid);
-      } else {
-        known_.insert(uid);
-      }
-      transport_.Apply(uid, location);
-    }
+    for (const auto& [uid, location] : list.locations) transport_.Apply(uid, location);
   }
   Pump();
 }
 
+void Dispatcher::Apply(MembershipList list) { Tell(roster_.Take(std::move(list))); }
+
+bool Dispatcher::Ban(const std::string& uid) {
+  auto told = roster_.Ban(uid);
+  if (told) Tell(std::move(*told));
+  return told.has_value();
+}
+
+bool Dispatcher::Unban(const std::string& uid) {
+  auto told = roster_.Unban(uid);
+  if (told) Tell(std::move(*told));
+  return told.has_value();
+}
+
+void Dispatcher::RestoreBans(const std::set<std::string>& bans) {
+  MembershipList told = roster_.Restore(bans);
+  // The module hears of the membership held first, which may be still to come.
+  if (!told.update.upstreams.empty()) Tell(std::move(told));
+}
+
 void Dispatcher::MembershipFailed() { Deliver(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}}); }
 
 std::optional<RequestId> Dispatcher::Take(NewRequest request) {
   if (!request.key.empty() && !keys_.Take(request.key, Now())) return std::nullopt;
+  const auto effect = settings_.classes[static_cast<std::size_t>(request.request_class)].effect;
+  if (on_key_ && !request.key.empty() && effect != kestrellb::Effect::kSafe) on_key_(request.key);
   kestrellb::RequestArrived event;
   event.request = RequestId{++last_request_};
   event.request_class = request.request_class;
@@ -103,6 +113,7 @@
   pending.deadline = request.deadline;
   pending.on_final = std::move(request.on_final);
   tally_.Taken(pending.request_class, pending.tenant);
+  ++owed_;
   requests_.emplace(id, std::move(pending));
   Deliver(event);
   return id;
@@ -173,12 +184,16 @@
   const ExchangeId exchange{++last_exchange_};
   pending.attempts.push_back(exchange);
   ++pending.out;
-  const auto on_end = [this, id = action.request, attempt](ExchangeResult result) {
+  ExchangeHooks hooks;
+  hooks.on_written = [this, cls = pending.request_class, tenant = pending.tenant] {
+    tally_.Sent(cls, tenant);
+  };
+  hooks.on_end = [this, id = action.request, attempt](ExchangeResult result) {
     Ended(id, attempt, std::move(result));
   };
   // The client left or has its answer: nothing more is sent for it.
-  if (!pending.on_final) return on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
-  transport_.Send(exchange, action.upstream.value, pending.message, action.timeout, on_end);
+  if (!pending.on_final) return hooks.on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
+  transport_.Send(exchange, action.upstream.value, pending.message, action.timeout, std::move(hooks));
 }
 
 void Dispatcher::CarryOut(const kestrellb::CancelAttempt& action) {
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -20,6 +19,7 @@
 #include "core/id_memory.h"
 #include "core/log.h"
 #include "core/membership.h"
+#include "core/roster.h"
 #include "core/tally.h"
 #include "core/timers.h"
 #include "kestrellb/balancer.h"
@@ -42,6 +42,16 @@
 
   void Apply(MembershipList list);
   void MembershipFailed();
+  // Takes an upstream out by hand, whatever the list says, and puts it back; false where it was never listed.
+  bool Ban(const std::string& uid);
+  bool Unban(const std::string& uid);
+  // Keys of requests that are open or ended a short while ago; and of those that another process of this
+  // sidecar took. `on_key` hears of each that is taken and must not be repeated.
+  std::vector<std::string> RecentKeys() const { return keys_.All(); }
+  void KnowKey(const std::string& key) { keys_.Know(key, Now()); }
+  void ObserveKeys(std::function<void(const std::string&)> on_key) { on_key_ = std::move(on_key); }
+  // Bans that a former process held.
+  void RestoreBans(const std::set<std::string>& bans);
 
   const kestrellb::Settings& settings() const { return settings_; }
   // Requests that wait for their Final, or have attempts out.
@@ -50,6 +60,9 @@
   // For people who look.
   std::vector<kestrellb::UpstreamView> upstreams() const { return balancer_.upstreams(Now()); }
   const Tally& tally() const { return tally_; }
+  const Roster& roster() const { return roster_; }
+  // Requests taken whose Final is still owed.
+  std::size_t owed() const { return owed_; }
 
  private:
   struct Pending {
@@ -72,10 +85,12 @@
     if (!delivering_) Pump();
   }
   void Pump();
+  void Tell(MembershipList list);
   void Ended(kestrellb::RequestId id, kestrellb::AttemptId attempt, ExchangeResult result);
   void End(kestrellb::RequestId id, Final final);
   void ForgetIfDone(kestrellb::RequestId id);
   void Count(const Pending& pending, Tally::Outcome outcome) {
+    --owed_;
     tally_.Ended(pending.request_class, pending.tenant, outcome);
   }
 
@@ -99,8 +114,10 @@
   bool delivering_ = false;
   std::unordered_map<kestrellb::RequestId, Pending> requests_;
   Tally tally_;
-  std::set<std::string> known_;  // upstreams that were told and are not gone
+  std::size_t owed_ = 0;
+  Roster roster_;
   IdMemory keys_;
+  std::function<void(const std::string&)> on_key_;
   std::uint64_t last_request_ = 0;
   std::uint64_t last_exchange_ = 0;
   Timers timers_;
--- a/core/exchange.h
+++ b/core/exchange.h
@@ -70,6 +70,12 @@
       reply;  // of a served one, and of another where the upstream's answer is worth telling
 };
 
+// What an exchange tells while it goes on, each at most once, and its end exactly once.
+struct ExchangeHooks {
+  std::function<void()> on_written;  // the last byte of its message is written
+  std::function<void(ExchangeResult)> on_end;
+};
+
 class Transport {
  public:
   using OnEnd = std::function<void(ExchangeResult)>;
@@ -78,10 +84,10 @@
   // What membership tells of one upstream. Where it drains, is gone, moved or started anew, nothing that has
   // not begun to be written to it is written any more: such attempts end as not sent.
   virtual void Apply(const std::string& uid, const Location& location) = 0;
-  // `on_end` is called exactly once, also where nothing could be sent, perhaps at once. `timeout` counts from
-  // now on and covers all that the attempt takes. Never sends a message twice by itself.
+  // Its end is told exactly once, also where nothing could be sent, perhaps at once. `timeout` counts from now
+  // on and covers all that the attempt takes. Never sends a message twice by itself.
   virtual void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message,
-                    Duration timeout, OnEnd on_end) = 0;
+                    Duration timeout, ExchangeHooks hooks) = 0;
   virtual void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) = 0;
   // Stops waiting; the exchange still ends once. Unknown ids are ignored.
   virtual void Cancel(ExchangeId id) = 0;
--- a/core/id_memory.cpp
+++ b/core/id_memory.cpp
@@ -7,6 +7,10 @@
   return taken_.insert(name).second;
 }
 
+void IdMemory::Know(const std::string& name, TimePoint now) {
+  if (Take(name, now)) Ended(name, now);
+}
+
 void IdMemory::Ended(std::string name, TimePoint now) { ended_.emplace_back(now, std::move(name)); }
 
 void IdMemory::Forget(TimePoint now) {
--- a/core/id_memory.h
+++ b/core/id_memory.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/clock.h"
 
@@ -20,6 +21,9 @@
 
   // False where the name is taken.
   bool Take(const std::string& name, TimePoint now);
+  // One that another process took: for as long as one that has ended here.
+  void Know(const std::string& name, TimePoint now);
+  std::vector<std::string> All() const { return {taken_.begin(), taken_.end()}; }
   // Its request has ended: the name is forgotten in a while.
   void Ended(std::string name, TimePoint now);
 
--- a/core/tally.h
+++ b/core/tally.h
@@ -20,7 +20,9 @@
     kestrellb::ClassId request_class{};
     std::optional<kestrellb::TenantId> tenant{};
     std::uint64_t taken = 0;
+    std::uint64_t sent = 0;  // attempts written whole
     std::array<std::uint64_t, kOutcomes> ended{};  // by Outcome
+    std::uint64_t Of(Outcome outcome) const { return ended[static_cast<std::size_t>(outcome)]; }
   };
 
   // Bounded by what the settings name; a tenant that they don't name counts as none.
@@ -34,6 +36,7 @@
   }
 
   void Taken(kestrellb::ClassId cls, std::optional<kestrellb::TenantId> tenant) { ++Of(cls, tenant).taken; }
+  void Sent(kestrellb::ClassId cls, std::optional<kestrellb::TenantId> tenant) { ++Of(cls, tenant).sent; }
   void Ended(kestrellb::ClassId cls, std::optional<kestrellb::TenantId> tenant, Outcome outcome) {
     ++Of(cls, tenant).ended[static_cast<std::size_t>(outcome)];
   }
--- a/dns/attempt.h
+++ b/dns/attempt.h
@@ -20,7 +20,7 @@
   ExchangeId id{};
   std::shared_ptr<Resolver> resolver;
   std::shared_ptr<const Query> query;
-  Transport::OnEnd on_end;
+  ExchangeHooks hooks;
   TimePoint sent;
   TimePoint gives_up;
   std::uint16_t wire_id = 0;
--- a/dns/tcp_link.cpp
+++ b/dns/tcp_link.cpp
@@ -143,7 +143,10 @@
       return;
     }
     if (front_written_ < frame.bytes.size()) continue;
-    if (frame.attempt != nullptr) frame.attempt->written = true;
+    if (frame.attempt != nullptr) {
+      frame.attempt->written = true;
+      frame.attempt->hooks.on_written();
+    }
     frames_.pop_front();
     front_written_ = 0;
   }
--- a/dns/transport.cpp
+++ b/dns/transport.cpp
@@ -90,16 +90,16 @@
 }
 
 void Transport::Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message,
-                     Duration timeout, OnEnd on_end) {
+                     Duration timeout, ExchangeHooks hooks) {
   const auto it = resolvers_.find(uid);
   if (it == resolvers_.end() || it->second->location.state != UpstreamState::kServing) {
-    return on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
+    return hooks.on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
   }
   Attempt& attempt = attempts_[id];
   attempt.id = id;
   attempt.resolver = it->second;
   attempt.query = std::static_pointer_cast<const Query>(message);
-  attempt.on_end = std::move(on_end);
+  attempt.hooks = std::move(hooks);
   attempt.sent = Now();
   attempt.gives_up = attempt.sent + timeout;
   deadlines_.Set(attempt.gives_up, static_cast<std::uint64_t>(id));
@@ -120,6 +120,7 @@
   const auto sending = port->Send(attempt, random_);
   if (sending == UdpPort::Sending::kSent) {
     ++counters_.udp_attempts;
+    attempt.hooks.on_written();
     if (port->uses() >= kMostUses && !port->exclusive()) {
       std::erase(attempt.resolver->ports, port);
       port->Retire();
@@ -265,7 +266,7 @@
   Leave(attempt);
   const ExchangeId id = attempt.id;
   deadlines_.TakeBack(attempt.gives_up, static_cast<std::uint64_t>(id));
-  const auto on_end = std::move(attempt.on_end);
+  const auto on_end = std::move(attempt.hooks.on_end);
   const Duration elapsed = Now() - attempt.sent;
   attempts_.erase(id);
   on_end({outcome, elapsed, {}, std::move(reply)});
--- a/dns/transport.h
+++ b/dns/transport.h
@@ -42,7 +42,7 @@
   // `message` is a Query. Its truncated answer over UDP is followed over TCP within the same attempt, at the
   // same resolver and in what is left of its time, where it may be repeated.
   void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration timeout,
-            OnEnd on_end) override;
+            ExchangeHooks hooks) override;
   void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override;
   void Cancel(ExchangeId id) override;
   void CloseIdle(const std::string& uid) override;
--- /dev/null
+++ b/handover/link.h
@@ -0,0 +1,47 @@
+// A connection between two processes of one sidecar: a JSON object a line, either way, on a Unix socket.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/local/stream_protocol.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace mothrack::handover {
+
+// Longer than a state with all ids that are remembered.
+inline constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
+
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  using Socket = boost::asio::local::stream_protocol::socket;
+  using OnLine = std::function<void(const nlohmann::json&)>;
+  using OnEnd = std::function<void()>;
+
+  explicit Link(Socket socket) : socket_(std::move(socket)) {}
+
+  // Reads from now on. `on_end` is called once, when the other process is gone or talks nonsense; nothing is
+  // called after Drop().
+  void Start(OnLine on_line, OnEnd on_end);
+  // Others hear from now on.
+  void Follow(OnLine on_line, OnEnd on_end);
+  void Send(const nlohmann::json& line);
+  void Drop();
+
+  Socket& socket() { return socket_; }
+
+ private:
+  void Read();
+  void Write();
+  void End();
+
+  Socket socket_;
+  OnLine on_line_;
+  OnEnd on_end_;
+  std::string in_;
+  std::string out_;
+  std::string writing_;
+};
+
+}  // namespace mothrack::handover
--- /dev/null
+++ b/handover/state.h
@@ -0,0 +1,35 @@
+// What a successor is told, as JSON of a stated version; and the file in which bans outlive a process that can't
+// be asked any more.
+#pragma once
+
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/log.h"
+
+namespace mothrack::handover {
+
+// Raised with each change that an earlier program would misread. A state of another version is ignored whole.
+inline constexpr int kVersion = 1;
+
+struct State {
+  std::set<std::string> bans;    // upstreams taken out by hand
+  std::vector<std::string> ids;  // of requests that must not be taken again
+  bool resting = false;          // emptied by hand
+  std::size_t sockets = 0;       // that the serving process may hold from now on
+};
+
+nlohmann::json ToJson(const State& state);
+// Throws std::runtime_error, which says what is wrong with it.
+State FromJson(const nlohmann::json& json);
+
+// `file` is replaced whole or not at all; a fault is logged.
+void WriteBans(const std::string& file, const std::set<std::string>& bans, Logger& log);
+// None where there is no such file; one that is cut short or of another version is logged and ignored whole.
+std::set<std::string> ReadBans(const std::string& file, Logger& log);
+
+}  // namespace mothrack::handover
--- a/http/front.cpp
+++ b/http/front.cpp
@@ -106,10 +106,10 @@
 
 }  // namespace
 
-HttpFront::HttpFront(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors,
+HttpFront::HttpFront(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors,
                      Logger& log, Dispatcher& dispatcher)
     : dispatcher_(dispatcher),
-      listener_(io, endpoint, descriptors, log, [this](HttpRequest request, Listener::Reply reply) {
+      listener_(io, where, descriptors, log, [this](HttpRequest request, Listener::Reply reply) {
         return Take(std::move(request), std::move(reply));
       }) {
   const kestrellb::Settings& settings = dispatcher.settings();
--- a/http/front.h
+++ b/http/front.h
@@ -14,10 +14,15 @@
 class HttpFront {
  public:
   // Takes requests at once. Throws boost::system::system_error where it can't listen.
-  HttpFront(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors, Logger& log,
+  HttpFront(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors, Logger& log,
             Dispatcher& dispatcher);
 
   Endpoint local() const { return listener_.local(); }
+  void HandOver() { listener_.HandOver(); }
+  void TakeBack() { listener_.TakeBack(); }
+  int native_handle() { return listener_.native_handle(); }
+  void Rest(bool on) { listener_.Rest(on); }
+  bool resting() const { return listener_.resting(); }
   // A planned stop; `done` is called when all that was taken is answered.
   void Drain(std::function<void()> done) { listener_.Drain(std::move(done)); }
 
--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -221,7 +221,8 @@
     const auto target = request.target();
     state_ = State::kServing;
     if (target == "/up" && request.method() == http::verb::get) {
-      const bool draining = owner_->drained_ != nullptr;
+      // Asked is whether the address takes clients.
+      const bool draining = owner_->resting() && !owner_->succeeded_;
       return Answer(draining ? Plain(http::status::service_unavailable, "draining")
                              : Plain(http::status::ok, "up"));
     }
@@ -237,7 +238,7 @@
     state_ = State::kWriting;
     since_ = Now();
     // The one who finds a request unfit asks for the close by the answer.
-    if (!response.keep_alive() || (owner_ != nullptr && owner_->drained_)) close_after_ = true;
+    if (!response.keep_alive() || (owner_ != nullptr && owner_->resting())) close_after_ = true;
     response_ = std::move(response);
     response_.version(version_);
     response_.keep_alive(!close_after_);
@@ -283,12 +284,12 @@
   bool closed_ = false;
 };
 
-Listener::Listener(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors,
+Listener::Listener(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors,
                    Logger& log, OnRequest on_request)
     : descriptors_(descriptors),
       log_(log),
       on_request_(std::move(on_request)),
-      acceptor_(io, endpoint, "", *this, log),
+      acceptor_(io, where, "", *this, log),
       sweep_(io) {
   ScheduleSweep();
 }
@@ -329,17 +330,27 @@
   }
 }
 
+void Listener::Rest(bool on) {
+  if (on == resting_) return;
+  resting_ = on;
+  sweep_.cancel();
+  Sweep();
+  ScheduleSweep();
+}
+
 void Listener::Drain(std::function<void()> done) {
   if (drained_) return;
   drained_ = std::move(done);
   drain_started_ = Now();
+  succeeded_ = acceptor_.paused();
+  if (succeeded_) acceptor_.Release();
   sweep_.cancel();
   Sweep();
   ScheduleSweep();
 }
 
 void Listener::ScheduleSweep() {
-  sweep_.expires_after(drained_ ? kDrainSweep : kSweep);
+  sweep_.expires_after(resting() ? kDrainSweep : kSweep);
   sweep_.async_wait([this](error_code error) {
     if (error) return;
     Sweep();
@@ -352,7 +363,7 @@
   const TimePoint now = Now();
   const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
   for (const auto& connection : all) {
-    if (drained_ && !connection->Fresh(now) && connection->SparesClose()) connection->Close();
+    if (resting() && !connection->Fresh(now) && connection->SparesClose()) connection->Close();
     connection->CloseIfOverdue(now);
   }
   if (drained_ && acceptor_.is_open() && now - drain_started_ > kAcceptWhileDraining) acceptor_.Close();
--- a/http/listener.h
+++ b/http/listener.h
@@ -26,13 +26,22 @@
   using OnRequest = std::function<OnGone(HttpRequest request, Reply reply)>;
 
   // Binds and listens; throws boost::system::system_error.
-  Listener(boost::asio::io_context& io, const Endpoint& endpoint, Descriptors& descriptors, Logger& log,
+  Listener(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors, Logger& log,
            OnRequest on_request);
   ~Listener();
 
   Endpoint local() const { return acceptor_.local(); }
 
-  // A planned stop: serves what still comes for a while, tells each client to close, then calls `done`.
+  // A successor accepts from the same socket: this one leaves new clients to it. Taken back where it is gone.
+  void HandOver() { acceptor_.Pause(); }
+  void TakeBack() { acceptor_.Resume(); }
+  int native_handle() { return acceptor_.native_handle(); }
+  // Empties it, or takes clients again: `/up` says no, idle connections are closed, the others after their
+  // answer. It listens on, so that `/up` can be asked; what still comes is served.
+  void Rest(bool on);
+  bool resting() const { return resting_ || drained_; }
+  // A planned stop: serves what still comes for a while, unless a successor does, tells each client to close,
+  // then calls `done`.
   void Drain(std::function<void()> done);
 
  private:
@@ -51,6 +60,8 @@
   Acceptor acceptor_;
   boost::asio::steady_timer sweep_;
   std::function<void()> drained_;  // set while draining
+  bool resting_ = false;
+  bool succeeded_ = false;  // draining, and a successor takes clients at the same address
   TimePoint drain_started_;
 };
 
--- a/http/transport.cpp
+++ b/http/transport.cpp
@@ -112,10 +112,11 @@
     return error;
   }
 
-  void Start(ExchangeId id, std::shared_ptr<const HttpMessage> message, Duration timeout, OnEnd on_end) {
+  void Start(ExchangeId id, std::shared_ptr<const HttpMessage> message, Duration timeout,
+             ExchangeHooks hooks) {
     id_ = id;
     request_ = std::shared_ptr<const HttpRequest>(message, &message->request);
-    on_end_ = std::move(on_end);
+    hooks_ = std::move(hooks);
     sent_ = Now();
     gives_up_ = sent_ + timeout;
     phase_ = connected_ ? Phase::kWriting : Phase::kConnecting;
@@ -204,6 +205,7 @@
     write_pending_ = true;
     http::async_write(socket_, *serializer_, [self = shared_from_this()](error_code error, std::size_t) {
       self->write_pending_ = false;
+      if (self->serializer_->is_done()) self->hooks_.on_written();
       if (self->ending_) return self->Finish(*self->ending_);
       if (self->closed_) return;
       if (error) return self->End(Cause::kBroken);
@@ -251,7 +253,7 @@
     if (result.outcome == Outcome::kServed) result.reply = std::make_unique<HttpReply>(std::move(response));
     timer_.cancel();
     phase_ = Phase::kIdle;
-    const auto on_end = std::exchange(on_end_, nullptr);
+    const auto on_end = std::exchange(hooks_.on_end, nullptr);
     const auto self = shared_from_this();
     owner_.exchanges_.erase(id_);
     if (keep) {
@@ -290,7 +292,7 @@
     if (cause == Cause::kTimeout) outcome = written ? Outcome::kTimeout : Outcome::kConnectFailed;
     if (cause == Cause::kCancelled) outcome = Outcome::kCancelled;
     phase_ = Phase::kIdle;
-    const auto on_end = std::exchange(on_end_, nullptr);
+    const auto on_end = std::exchange(hooks_.on_end, nullptr);
     const auto self = shared_from_this();
     owner_.exchanges_.erase(id_);
     on_end({outcome, Now() - sent_, {}, nullptr});
@@ -314,7 +316,7 @@
   int interim_ = 0;
   ExchangeId id_{};
   std::shared_ptr<const HttpRequest> request_;
-  OnEnd on_end_;
+  ExchangeHooks hooks_;
   TimePoint sent_;
   TimePoint gives_up_;
   TimePoint idle_since_;
@@ -366,28 +368,29 @@
 }
 
 void HttpTransport::Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message,
-                         Duration timeout, OnEnd on_end) {
+                         Duration timeout, ExchangeHooks hooks) {
   const auto it = pools_.find(uid);
   std::shared_ptr<Connection> connection;
   if (it != pools_.end() && it->second->location.state == UpstreamState::kServing) {
     connection = TakeIdle(*it->second);
     if (!connection) connection = Open(it->second);
   }
-  if (!connection) return on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
+  if (!connection) return hooks.on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
   exchanges_.emplace(id, connection);
-  connection->Start(id, std::static_pointer_cast<const HttpMessage>(message), timeout, std::move(on_end));
+  connection->Start(id, std::static_pointer_cast<const HttpMessage>(message), timeout, std::move(hooks));
 }
 
 void HttpTransport::Probe(ExchangeId id, const std::string& uid, OnEnd on_end) {
   HttpRequest request(http::verb::get, probe_target_, 11);
   request.set(http::field::host, uid);
   Send(id, uid, std::make_shared<HttpMessage>(std::move(request)), connect_timeout_,
-       [by_body = probe_target_ != "/alive", on_end = std::move(on_end)](ExchangeResult result) {
-         if (by_body && result.outcome == Outcome::kServed) {
-           result.load = ParseLoad(static_cast<const HttpReply&>(*result.reply).response.body());
-         }
-         on_end(std::move(result));
-       });
+       {[] {},
+        [by_body = probe_target_ != "/alive", on_end = std::move(on_end)](ExchangeResult result) {
+          if (by_body && result.outcome == Outcome::kServed) {
+            result.load = ParseLoad(static_cast<const HttpReply&>(*result.reply).response.body());
+          }
+          on_end(std::move(result));
+        }});
 }
 
 void HttpTransport::Cancel(ExchangeId id) {
--- a/http/transport.h
+++ b/http/transport.h
@@ -29,7 +29,7 @@
   void Apply(const std::string& uid, const Location& location) override;
   // `message` is an HttpMessage; it is sent with its X-Timeout-Ms set to what is left of the time-out.
   void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration timeout,
-            OnEnd on_end) override;
+            ExchangeHooks hooks) override;
   void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override;
   // The connection is closed.
   void Cancel(ExchangeId id) override;
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -98,6 +98,13 @@
     if (!discovery->is_string()) throw ConfigError("LB_CONFIG: discovery is no text");
     config.discovery = Address("LB_CONFIG: discovery", discovery->get<std::string>());
   }
+  // The environment is this process's own, the file may serve a former one beside it.
+  if (const char* ops = variable("LB_OPS"); ops != nullptr && *ops != '\0') {
+    config.ops = Address("LB_OPS", ops);
+  } else if (const auto in_file = file.find("ops"); in_file != file.end()) {
+    if (!in_file->is_string()) throw ConfigError("LB_CONFIG: ops is no text");
+    config.ops = Address("LB_CONFIG: ops", in_file->get<std::string>());
+  }
   if (const auto known = file.find("known"); known != file.end()) config.known = *known;
   return config;
 }
--- a/node/config.h
+++ b/node/config.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -23,6 +24,7 @@
   std::string name;
   Endpoint listen;
   Endpoint discovery;
+  std::optional<Endpoint> ops;  // where operators call; absent: nowhere
   std::uint64_t seed = 0;
   std::size_t sockets = 0;
   nlohmann::json known;  // the list of upstreams as last held, in discovery's form; null where there is none
--- a/node/program.cpp
+++ b/node/program.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "admin/door.h"
+#include "admin/ops.h"
 #include "admin/report.h"
 #include "config.h"
 #include "core/descriptors.h"
@@ -49,6 +50,7 @@
     std::size_t fixed = 0;
     if (file && file->dns) fixed += dns::Service::FixedDescriptors(*file->dns);
     if (file && file->admin) fixed += admin::Door::kFixedDescriptors;
+    if (platform && platform->ops) fixed += admin::Ops::kFixedDescriptors;
     return fixed;
   }
 };
@@ -81,12 +83,24 @@
     Took(told_);
     if (told_.platform) {
       try {
-        sidecar_ = std::make_unique<Sidecar>(io, *told_.platform, descriptors_, log_);
+        sidecar_ = std::make_unique<Sidecar>(io, *told_.platform, Sidecar::Inheritance{}, descriptors_, log_,
+                                             [] {});
       } catch (const boost::system::system_error& e) {
         throw ConfigError("LB_LISTEN " + Text(told_.platform->listen) + ": " + e.what());
       }
       std::cerr << told_.name() << ": listening on " << sidecar_->local() << std::endl;
     }
+    if (told_.platform && told_.platform->ops) {
+      ops_ = std::make_unique<admin::Ops>(
+          io, *told_.platform->ops,
+          admin::OpsSource{[this] { return draining_ == 0 && sidecar_->ready() && !sidecar_->resting(); },
+                           [this] { return admin::Figures(sidecar_->dispatcher()); },
+                           [this](const std::string& uid) { return sidecar_->Ban(uid); },
+                           [this](const std::string& uid) { return sidecar_->Unban(uid); },
+                           [this](bool on) { return Rest(on); }},
+          log_);
+      std::cerr << told_.name() << ": ops on " << ops_->local() << std::endl;
+    }
     if (told_.file && told_.file->dns) {
       try {
         dns_ = std::make_unique<dns::Service>(io, *told_.file->dns, Seed(), descriptors_, log_);
@@ -124,6 +138,13 @@
     }
   }
 
+  // Empties the sidecar, or takes clients again; false during a planned stop.
+  bool Rest(bool on) {
+    if (draining_ > 0) return false;
+    sidecar_->Rest(on);
+    return true;
+  }
+
   void Drain() {
     if (!draining_since_) draining_since_ = admin::UnixMilliseconds();
     const auto ended = [this] {
@@ -207,6 +228,7 @@
   nlohmann::json configuration_;
   nlohmann::json refused_;  // the last one that was not taken, until one is
   std::unique_ptr<admin::Door> door_;
+  std::unique_ptr<admin::Ops> ops_;
 };
 
 }  // namespace
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -22,20 +22,51 @@
   return list;
 }
 
+// A successor's known list may be as old as its predecessor; the agent of this machine answers at once.
+constexpr Duration kListPatience = std::chrono::milliseconds(500);
+
+ListenOn Where(const Config& config, const Sidecar::Inheritance& inheritance) {
+  ListenOn where(config.listen);
+  where.taken = inheritance.listening;
+  where.share_port = inheritance.share_port;
+  where.paused = inheritance.wait_for_list;
+  return where;
+}
+
 }  // namespace
 
-Sidecar::Sidecar(boost::asio::io_context& io, const Config& config, Descriptors& descriptors, Logger& log)
+Sidecar::Sidecar(boost::asio::io_context& io, const Config& config, const Inheritance& inheritance,
+                 Descriptors& descriptors, Logger& log, std::function<void()> on_ready)
     : log_(log),
       transport_(io, config.settings.limits, config.settings.load_by_probe, descriptors),
       dispatcher_(io, config.settings, config.seed, transport_, log, [this] { discovery_.Ask(); }),
       discovery_(
           io, config.discovery, config.settings.membership_on_request, unix_clock_, log,
-          [this](MembershipList list) { dispatcher_.Apply(std::move(list)); },
+          [this](MembershipList list) {
+            dispatcher_.Apply(std::move(list));
+            if (!ready_) TakeClients();
+          },
           [this] { dispatcher_.MembershipFailed(); }),
-      front_(io, config.listen, descriptors, log, dispatcher_) {
+      on_ready_(std::move(on_ready)),
+      list_awaited_(io),
+      front_(io, Where(config, inheritance), descriptors, log, dispatcher_) {
+  // Before anything is sent.
+  dispatcher_.RestoreBans(inheritance.bans);
+  for (const std::string& id : inheritance.ids) dispatcher_.KnowKey(id);
+  front_.Rest(inheritance.resting);
   dispatcher_.Apply(Known(config.known, unix_clock_));
   // Where membership is told on request, the module asks.
   if (!config.settings.membership_on_request) discovery_.Ask();
+  list_awaited_.expires_after(inheritance.wait_for_list ? kListPatience : Duration::zero());
+  list_awaited_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !ready_) TakeClients();
+  });
+}
+
+void Sidecar::TakeClients() {
+  ready_ = true;
+  front_.TakeBack();
+  on_ready_();
 }
 
 void Sidecar::Reconfigure(const Config& config) {
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -2,8 +2,13 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "config.h"
 #include "core/clock.h"
@@ -18,11 +23,37 @@
 
 class Sidecar {
  public:
+  // What a process brings along that did not start from nothing.
+  struct Inheritance {
+    int listening = -1;         // the socket where clients wait; -1: to be bound
+    bool share_port = false;    // another process may listen there, too
+    bool wait_for_list = false;  // clients are taken once discovery has told the list, or after a short while
+    bool resting = false;
+    std::set<std::string> bans{};
+    std::vector<std::string> ids{};
+  };
+
   // Starts at once: binds, hands the module the known list and asks discovery. Throws where it cannot.
-  Sidecar(boost::asio::io_context& io, const Config& config, Descriptors& descriptors, Logger& log);
+  // `on_ready` is called later, once it takes clients.
+  Sidecar(boost::asio::io_context& io, const Config& config, const Inheritance& inheritance,
+          Descriptors& descriptors, Logger& log, std::function<void()> on_ready);
+
+  bool ready() const { return ready_; }  // takes clients, or did
+  int listening() { return front_.native_handle(); }
+  // A successor takes clients from the same socket; it is gone again.
+  void HandOver() { front_.HandOver(); }
+  void TakeBack() { front_.TakeBack(); }
+  std::vector<std::string> RecentIds() const { return dispatcher_.RecentKeys(); }
+  void KnowId(const std::string& id) { dispatcher_.KnowKey(id); }
+  void ObserveIds(std::function<void(const std::string&)> on_id) { dispatcher_.ObserveKeys(std::move(on_id)); }
 
   Endpoint local() const { return front_.local(); }
   const Dispatcher& dispatcher() const { return dispatcher_; }  // for people who look
+  bool Ban(const std::string& uid) { return dispatcher_.Ban(uid); }
+  bool Unban(const std::string& uid) { return dispatcher_.Unban(uid); }
+  // Empties it; takes clients again.
+  void Rest(bool on) { front_.Rest(on); }
+  bool resting() const { return front_.resting(); }
   // A planned stop; `done` is called when all that was taken is answered.
   void Drain(std::function<void()> done) { front_.Drain(std::move(done)); }
   // The configuration was replaced: follows its `discovery`. The rest counts from the next start on.
@@ -35,6 +66,11 @@
   HttpTransport transport_;
   Dispatcher dispatcher_;
   Discovery discovery_;
+  void TakeClients();
+
+  const std::function<void()> on_ready_;
+  bool ready_ = false;
+  boost::asio::steady_timer list_awaited_;
   HttpFront front_;  // last: it takes requests from here on, and goes first
 };
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -37,15 +37,15 @@
   struct Out {
     std::string uid;
     std::shared_ptr<const Message> message;
-    OnEnd on_end;
+    ExchangeHooks hooks;
   };
 
   void Apply(const std::string& uid, const Location& location) override { locations[uid] = location; }
   void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration,
-            OnEnd on_end) override {
+            ExchangeHooks hooks) override {
     ++sent;
-    if (at_once) return on_end({*at_once, Duration(1), {}, std::make_unique<TextReply>("at once")});
-    out.emplace(id, Out{uid, std::move(message), std::move(on_end)});
+    if (at_once) return hooks.on_end({*at_once, Duration(1), {}, std::make_unique<TextReply>("at once")});
+    out.emplace(id, Out{uid, std::move(message), std::move(hooks)});
   }
   void Probe(ExchangeId, const std::string&, OnEnd on_end) override {
     on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
@@ -56,7 +56,7 @@
   void CloseIdle(const std::string&) override {}
 
   void End(ExchangeId id, Outcome outcome, const std::string& reply = "") {
-    auto on_end = std::move(out.at(id).on_end);
+    auto on_end = std::move(out.at(id).hooks.on_end);
     out.erase(id);
     on_end({outcome, milliseconds(1), {}, reply.empty() ? nullptr : std::make_unique<TextReply>(reply)});
   }
--- a/tests/standins/admin_client.cpp
+++ b/tests/standins/admin_client.cpp
@@ -60,6 +60,11 @@
   return answer;
 }
 
+std::optional<AdminAnswer> AdminClient::Put(const std::string& target, const std::string& body) const {
+  return Raw("PUT " + target + " HTTP/1.1\r\nHost: ops\r\nContent-Length: " + std::to_string(body.size()) +
+             "\r\n\r\n" + body);
+}
+
 std::optional<AdminAnswer> AdminClient::Ask(const std::string& method, const std::string& target) const {
   std::string request = method + ' ' + target + " HTTP/1.1\r\nHost: door\r\n";
   if (!token_.empty()) request += "Authorization: Bearer " + token_ + "\r\n";
--- a/tests/standins/admin_client.h
+++ b/tests/standins/admin_client.h
@@ -23,6 +23,7 @@
 
   std::optional<AdminAnswer> Get(const std::string& target) const { return Ask("GET", target); }
   std::optional<AdminAnswer> Post(const std::string& target) const { return Ask("POST", target); }
+  std::optional<AdminAnswer> Put(const std::string& target, const std::string& body = "") const;
   // Sends `bytes` and reads until the door closes; nothing where it says nothing or does not close in time.
   std::optional<AdminAnswer> Raw(const std::string& bytes) const;
 
--- a/tests/standins/peers.cpp
+++ b/tests/standins/peers.cpp
@@ -284,7 +284,11 @@
   pid_ = ::fork();
   if (pid_ == 0) {
     ::dup2(ends[1], 2);
-    for (const char* name : {"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"}) ::unsetenv(name);
+    for (const char* name : {"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG", "LB_OPS", "TMPDIR"}) {
+      ::unsetenv(name);
+    }
+    if (!options.ops.empty()) ::setenv("LB_OPS", options.ops.c_str(), 1);
+    if (!options.tmpdir.empty()) ::setenv("TMPDIR", options.tmpdir.c_str(), 1);
     if (options.platform) {
       ::setenv("LB_NAME", "t1", 1);
       ::setenv("LB_LISTEN", options.listen.c_str(), 1);
@@ -333,6 +337,8 @@
 
 bool Node::Listening() { return Announced("listening on 127.0.0.1:", port_); }
 
+bool Node::OpsListening() { return Announced("ops on 127.0.0.1:", ops_port_); }
+
 bool Node::DnsListening() { return Announced("dns on 127.0.0.1:", dns_port_); }
 
 void Node::WriteOperatorFile(const std::string& text) {
--- a/tests/standins/peers.h
+++ b/tests/standins/peers.h
@@ -162,6 +162,8 @@
     json settings = Settings();
     int sockets = 256;
     std::string listen = "127.0.0.1:0";
+    std::string ops = "";     // where operators call: LB_OPS
+    std::string tmpdir = "";  // $TMPDIR; empty: none is set
     std::vector<std::string> unset;
     std::string config_text;                 // in place of the JSON made from the rest
     bool platform = true;                    // the LB_* variables are set
@@ -176,6 +178,8 @@
   std::uint16_t port() const { return port_; }
   void Signal(int number);
   void Reload(const std::string& config_text);  // replaces the file and tells it
+  bool OpsListening();  // waits until it is
+  std::string ops() const { return "127.0.0.1:" + std::to_string(ops_port_); }
   bool DnsListening();                          // waits until it is
   std::uint16_t dns_port() const { return dns_port_; }
   void WriteOperatorFile(const std::string& text);  // replaces it, and tells nobody
@@ -193,6 +197,7 @@
 
   std::uint16_t port_ = 0;
   std::uint16_t dns_port_ = 0;
+  std::uint16_t ops_port_ = 0;
   json config_;
   std::string config_path_;
   std::string operator_path_;
