A new version under load: socket, bans and ids handed over; the two share their limits

Ruled out: a lost request by the drain itself (the planned stop keeps its tests); it was the bind, and the old one closing on clients with nobody else there.

The successor is handed the listening socket over a Unix socket in TMPDIR (SCM_RIGHTS), with bans, recent ids and how many sockets the old one keeps; from then on both tell each other bans, ids and draining. It takes clients once it holds the bans and discovery has told the list (0.5 s at most). The old one stops accepting then, and accepts again if the successor dies.

--- a/handover/handover.cpp
+++ b/handover/handover.cpp
@@ -76,7 +76,7 @@
 
 // One try: the line that came, with the socket; nothing where it ended or took too long.
 std::optional<json> AskOnce(Protocol::socket& socket, std::chrono::steady_clock::time_point until,
-                            int& listening) {
+                            int& listening, std::string& rest) {
   const std::string ask = json{{"takeover", kVersion}}.dump() + '\n';
   if (::send(socket.native_handle(), ask.data(), ask.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(ask.size())) {
     return std::nullopt;
@@ -91,9 +91,9 @@
     if (got <= 0) return std::nullopt;
     text.append(part.data(), static_cast<std::size_t>(got));
     while (!text.empty() && text.front() == kWithSocket) text.erase(0, 1);
-    // Nothing follows the answer until this process says that it is ready.
-    if (!text.empty() && text.back() == '\n') {
-      json line = json::parse(text, nullptr, false);
+    if (const auto end = text.find('\n'); end != std::string::npos) {
+      json line = json::parse(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(end), nullptr, false);
+      rest = text.substr(end + 1);  // what was told since
       if (line.is_object()) return line;
       return std::nullopt;
     }
@@ -112,14 +112,15 @@
     socket.connect(Protocol::endpoint(path), error);
     if (error) return std::nullopt;  // nobody serves
     Taken taken;
-    const auto answer = AskOnce(socket, until, taken.listening);
+    std::string rest;
+    const auto answer = AskOnce(socket, until, taken.listening, rest);
     const bool busy = answer && answer->contains("busy");
     std::string fault = busy ? "another successor gets ready" : "it did not answer";
     if (answer && !busy) {
       try {
         taken.state = FromJson(*answer);
         if (!IsListening(taken.listening)) throw std::runtime_error("it gave no listening socket");
-        taken.link = std::make_shared<Link>(std::move(socket));
+        taken.link = std::make_shared<Link>(std::move(socket), std::move(rest));
         return taken;
       } catch (const std::exception& e) {
         fault = e.what();
@@ -160,6 +161,12 @@
 
 void Handover::Ready() {
   if (predecessor_) predecessor_->Send({{"ready", true}});
+  ListenOrSay();
+}
+
+void Handover::ListenOrSay() {
+  error_code ignored;
+  acceptor_.close(ignored);
   try {
     Listen();
   } catch (const boost::system::system_error& e) {
@@ -222,8 +229,9 @@
   link->Follow([this, raw = link.get()](const json& line) { Asked(raw->shared_from_this(), line); },
                [this] {
                  successor_.reset();
-                 succeeded_ = false;
                  log_.Line("handover: the successor is gone");
+                 // The path was its.
+                 if (std::exchange(succeeded_, false)) ListenOrSay();
                  owner_.SuccessorGone();
                });
   link->Send(ToJson(owner_.GiveState()));
--- a/handover/handover.h
+++ b/handover/handover.h
@@ -71,6 +71,7 @@
  private:
   using Protocol = boost::asio::local::stream_protocol;
 
+  void ListenOrSay();
   void Listen();
   void Accept();
   void Asked(const std::shared_ptr<Link>& link, const nlohmann::json& line);
--- a/handover/link.cpp
+++ b/handover/link.cpp
@@ -15,7 +15,7 @@
 
 void Link::Start(OnLine on_line, OnEnd on_end) {
   Follow(std::move(on_line), std::move(on_end));
-  Read();
+  if (TakeLines(0)) Read();
 }
 
 void Link::Follow(OnLine on_line, OnEnd on_end) {
@@ -46,23 +46,27 @@
         self->in_.resize(had + (error ? 0 : size));
         if (!self->on_line_) return;
         if (error) return self->End();
-        std::size_t begin = 0;
-        for (auto end = self->in_.find('\n', had); end != std::string::npos; end = self->in_.find('\n', begin)) {
-          const auto line = nlohmann::json::parse(self->in_.begin() + static_cast<std::ptrdiff_t>(begin),
-                                                  self->in_.begin() + static_cast<std::ptrdiff_t>(end), nullptr,
-                                                  false);
-          begin = end + 1;
-          if (!line.is_object()) return self->End();
-          const OnLine on_line = self->on_line_;  // it may drop this
-          on_line(line);
-          if (!self->on_line_) return;
-        }
-        self->in_.erase(0, begin);
-        if (self->in_.size() > kLongestLine) return self->End();
-        self->Read();
+        if (self->TakeLines(had)) self->Read();
       });
 }
 
+// Whole lines in what has come, of which `looked` bytes are known to hold no end of one; false where this ended.
+bool Link::TakeLines(std::size_t looked) {
+  std::size_t begin = 0;
+  for (auto end = in_.find('\n', looked); end != std::string::npos; end = in_.find('\n', begin)) {
+    const auto line = nlohmann::json::parse(in_.begin() + static_cast<std::ptrdiff_t>(begin),
+                                            in_.begin() + static_cast<std::ptrdiff_t>(end), nullptr, false);
+    begin = end + 1;
+    const OnLine on_line = on_line_;  // it may drop this
+    if (line.is_object()) on_line(line);
+    if (!line.is_object()) End();
+    if (!on_line_) return false;
+  }
+  in_.erase(0, begin);
+  if (in_.size() > kLongestLine) End();
+  return on_line_ != nullptr;
+}
+
 void Link::Write() {
   writing_ = std::exchange(out_, {});
   boost::asio::async_write(socket_, boost::asio::buffer(writing_),
--- a/handover/link.h
+++ b/handover/link.h
@@ -19,7 +19,8 @@
   using OnLine = std::function<void(const nlohmann::json&)>;
   using OnEnd = std::function<void()>;
 
-  explicit Link(Socket socket) : socket_(std::move(socket)) {}
+  // `read` has come already, and is not looked at yet.
+  explicit Link(Socket socket, std::string read = {}) : socket_(std::move(socket)), in_(std::move(read)) {}
 
   // Reads from now on. `on_end` is called once, when the other process is gone or talks nonsense; nothing is
   // called after Drop().
@@ -33,6 +34,7 @@
 
  private:
   void Read();
+  bool TakeLines(std::size_t looked);
   void Write();
   void End();
 
--- a/node/program.cpp
+++ b/node/program.cpp
@@ -20,8 +20,10 @@
 #include "core/descriptors.h"
 #include "core/log.h"
 #include "dns/service.h"
+#include "handover/handover.h"
 #include "operator_file.h"
 #include "sidecar.h"
+#include "succession.h"
 
 namespace mothrack {
 namespace {
@@ -34,6 +36,7 @@
 struct Told {
   std::optional<Config> platform;
   std::optional<OperatorFile> file;
+  std::string shared_path;  // of what two processes of this sidecar find each other by; empty: they don't
 
   std::string name() const { return platform ? platform->name : file->name; }
   std::size_t sockets() const {
@@ -64,6 +67,10 @@
     platform = platform || (value != nullptr && *value != '\0');
   }
   if (platform) told.platform = LoadConfig(variable);
+  const char* shared = variable("TMPDIR");
+  if (platform && shared != nullptr && *shared != '\0') {
+    told.shared_path = std::string(shared) + "/mothrack-" + HashOf(variable("LB_LISTEN") + told.name());
+  }
   if (!platform && !told.file->dns) {
     throw ConfigError(*path + ": names nothing to start; add [dns], or set the LB_* variables");
   }
@@ -79,12 +86,13 @@
         read_(std::move(read)),
         told_(read_()),
         log_(told_.name()),
-        descriptors_(told_.sockets(), told_.fixed_descriptors()) {
+        descriptors_(told_.sockets(), told_.fixed_descriptors()),
+        succession_(io, told_.shared_path, descriptors_, log_) {
     Took(told_);
     if (told_.platform) {
       try {
-        sidecar_ = std::make_unique<Sidecar>(io, *told_.platform, Sidecar::Inheritance{}, descriptors_, log_,
-                                             [] {});
+        sidecar_ = std::make_unique<Sidecar>(io, *told_.platform, succession_.Inherit(), descriptors_, log_,
+                                             [this] { succession_.Serve(*sidecar_); });
       } catch (const boost::system::system_error& e) {
         throw ConfigError("LB_LISTEN " + Text(told_.platform->listen) + ": " + e.what());
       }
@@ -95,8 +103,8 @@
           io, *told_.platform->ops,
           admin::OpsSource{[this] { return draining_ == 0 && sidecar_->ready() && !sidecar_->resting(); },
                            [this] { return admin::Figures(sidecar_->dispatcher()); },
-                           [this](const std::string& uid) { return sidecar_->Ban(uid); },
-                           [this](const std::string& uid) { return sidecar_->Unban(uid); },
+                           [this](const std::string& uid) { return succession_.Ban(*sidecar_, uid, true); },
+                           [this](const std::string& uid) { return succession_.Ban(*sidecar_, uid, false); },
                            [this](bool on) { return Rest(on); }},
           log_);
       std::cerr << told_.name() << ": ops on " << ops_->local() << std::endl;
@@ -141,7 +149,7 @@
   // Empties the sidecar, or takes clients again; false during a planned stop.
   bool Rest(bool on) {
     if (draining_ > 0) return false;
-    sidecar_->Rest(on);
+    succession_.Rest(*sidecar_, on);
     return true;
   }
 
@@ -218,6 +226,7 @@
   const Told told_;  // as at the start
   Logger log_;
   Descriptors descriptors_;
+  Succession succession_;
   std::unique_ptr<Sidecar> sidecar_;
   std::unique_ptr<dns::Service> dns_;
   int draining_ = 0;
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -50,6 +50,7 @@
   Endpoint local() const { return front_.local(); }
   const Dispatcher& dispatcher() const { return dispatcher_; }  // for people who look
   bool Ban(const std::string& uid) { return dispatcher_.Ban(uid); }
+  void RestoreBans(const std::set<std::string>& bans) { dispatcher_.RestoreBans(bans); }
   bool Unban(const std::string& uid) { return dispatcher_.Unban(uid); }
   // Empties it; takes clients again.
   void Rest(bool on) { front_.Rest(on); }
