--- a/core/dispatcher.cpp
+++ b/core/dispatcher.cpp
@@ -103,6 +103,7 @@
   event.deadline = request.deadline;
   event.work = request.work;
   event.client_retry = request.client_retry;
+  event.arriving = request.arriving;
   const RequestId id = event.request;
 
   Pending pending;
@@ -113,21 +114,50 @@
   pending.deadline = request.deadline;
   pending.on_final = std::move(request.on_final);
   tally_.Taken(pending.request_class, pending.tenant);
-  ++owed_;
+  pending.arriving = request.arriving;
+  if (!pending.arriving) Owe(pending);
   requests_.emplace(id, std::move(pending));
   Deliver(event);
   return id;
 }
 
+void Dispatcher::Whole(RequestId id, TimePoint deadline) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || !std::exchange(it->second.arriving, false)) return;
+  it->second.deadline = deadline;
+  if (!it->second.ended) Owe(it->second);
+  Deliver(kestrellb::RequestWhole{id, deadline});
+}
+
 void Dispatcher::Gone(RequestId id) {
   const auto it = requests_.find(id);
-  if (it == requests_.end() || !it->second.on_final) return;
+  if (it == requests_.end() || (!it->second.on_final && !it->second.streaming)) return;
   it->second.on_final = nullptr;
+  it->second.streaming = false;
   Count(it->second, Tally::Outcome::kLeft);
   Deliver(kestrellb::RequestGone{id});
   ForgetIfDone(id);
 }
 
+// The request is this attempt's from here on: the module calls the others off.
+void Dispatcher::Started(RequestId id, AttemptId attempt, std::unique_ptr<Reply> reply) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  Pending& pending = it->second;
+  const auto on_final = std::exchange(pending.on_final, nullptr);
+  // Nobody wants it any more.
+  if (!on_final) return transport_.Cancel(pending.attempts[static_cast<std::size_t>(attempt)]);
+  pending.streaming = true;
+  pending.winner = attempt;
+  Final final;
+  final.kind = Final::Kind::kServed;
+  final.reply = std::move(reply);
+  final.streaming = true;
+  final.attempts = pending.attempts.size();
+  on_final(std::move(final));
+  Deliver(kestrellb::AnswerStarted{id, attempt});
+}
+
 void Dispatcher::Ended(RequestId id, AttemptId attempt, ExchangeResult result) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
@@ -135,6 +165,10 @@
   --pending.out;
   pending.last = result.outcome;
   const bool served = result.outcome == Outcome::kServed;
+  if (pending.streaming && pending.winner == attempt) {
+    pending.streaming = false;
+    Count(pending, served ? Tally::Outcome::kServed : Tally::Outcome::kFailed);
+  }
   const bool finished = served || !pending.on_final;
   if (!served) {
     pending.last_reply = std::move(result.reply);
@@ -172,6 +206,7 @@
 void Dispatcher::ForgetIfDone(RequestId id) {
   const auto it = requests_.find(id);
   if (it == requests_.end() || it->second.on_final || it->second.out > 0) return;
+  if (it->second.counted) --owed_;  // refused or failed while it still came
   if (!it->second.key.empty()) keys_.Ended(std::move(it->second.key), Now());
   requests_.erase(it);
 }
@@ -188,6 +223,9 @@
   hooks.on_written = [this, cls = pending.request_class, tenant = pending.tenant] {
     tally_.Sent(cls, tenant);
   };
+  hooks.on_started = [this, id = action.request, attempt](std::unique_ptr<Reply> reply) {
+    Started(id, attempt, std::move(reply));
+  };
   hooks.on_end = [this, id = action.request, attempt](ExchangeResult result) {
     Ended(id, attempt, std::move(result));
   };
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -37,6 +37,8 @@
 
   // Takes a request in; nothing, and no Final, where its key is taken.
   std::optional<kestrellb::RequestId> Take(NewRequest request);
+  // The last byte of a request has come that was taken while its body still came: its time counts from now on.
+  void Whole(kestrellb::RequestId id, TimePoint deadline);
   // The client left: no Final is owed any more.
   void Gone(kestrellb::RequestId id);
 
@@ -71,6 +73,11 @@
     std::optional<kestrellb::TenantId> tenant;
     std::shared_ptr<const Message> message;
     TimePoint deadline;
+    bool arriving = false;   // its body still comes
+    bool counted = false;    // among those that are owed their end
+    bool ended = false;      // its outcome is counted
+    bool streaming = false;  // its answer has begun, with the attempt `winner`
+    kestrellb::AttemptId winner{};
     OnFinal on_final;  // empty once the request has its answer or its client is gone
     std::vector<ExchangeId> attempts;
     std::size_t out = 0;  // attempts that have not ended
@@ -86,11 +93,17 @@
   }
   void Pump();
   void Tell(MembershipList list);
+  void Started(kestrellb::RequestId id, kestrellb::AttemptId attempt, std::unique_ptr<Reply> reply);
   void Ended(kestrellb::RequestId id, kestrellb::AttemptId attempt, ExchangeResult result);
   void End(kestrellb::RequestId id, Final final);
   void ForgetIfDone(kestrellb::RequestId id);
-  void Count(const Pending& pending, Tally::Outcome outcome) {
-    --owed_;
+  void Owe(Pending& pending) {
+    pending.counted = true;
+    ++owed_;
+  }
+  void Count(Pending& pending, Tally::Outcome outcome) {
+    if (std::exchange(pending.ended, true)) return;
+    if (std::exchange(pending.counted, false)) --owed_;
     tally_.Ended(pending.request_class, pending.tenant, outcome);
   }
 
--- a/core/exchange.h
+++ b/core/exchange.h
@@ -40,6 +40,7 @@
   // Of a request that was not served: what the last attempt got, where that is an answer of its own that says
   // more than the front could.
   std::unique_ptr<Reply> reply;
+  bool streaming = false;  // the body of `reply` still comes; Gone() may be told until it has
   Duration retry_after{};                  // of a refusal; zero: no advice
   bool late = false;                       // the request's time is over
   std::size_t attempts = 0;                // made so far; some may still be out
@@ -51,6 +52,8 @@
   kestrellb::ClassId request_class{};
   std::optional<kestrellb::TenantId> tenant{};
   TimePoint deadline{};
+  // Its body still comes: its time counts from Dispatcher::Whole() on, and `deadline` says how long it is.
+  bool arriving = false;
   std::optional<Duration> work{};
   bool client_retry = false;
   // The name under which the request must not come again, open or ended a short while ago; empty: none.
@@ -73,6 +76,8 @@
 // What an exchange tells while it goes on, each at most once, and its end exactly once.
 struct ExchangeHooks {
   std::function<void()> on_written;  // the last byte of its message is written
+  // An answer is served, and its body still comes; the end tells whether all of it did.
+  std::function<void(std::unique_ptr<Reply>)> on_started;
   std::function<void(ExchangeResult)> on_end;
 };
 
@@ -85,7 +90,8 @@
   // not begun to be written to it is written any more: such attempts end as not sent.
   virtual void Apply(const std::string& uid, const Location& location) = 0;
   // Its end is told exactly once, also where nothing could be sent, perhaps at once. `timeout` counts from now
-  // on and covers all that the attempt takes. Never sends a message twice by itself.
+  // on, or from when the last byte is written of a message that is still coming, and covers all that the attempt
+  // takes until an answer has started. Never sends a message twice by itself.
   virtual void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message,
                     Duration timeout, ExchangeHooks hooks) = 0;
   virtual void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) = 0;
--- /dev/null
+++ b/core/stream.cpp
@@ -0,0 +1,81 @@
+#include "core/stream.h"
+
+#include <algorithm>
+
+namespace mothrack {
+
+std::size_t ByteBudget::Window() const {
+  return std::clamp(bytes_ / std::max<std::size_t>(open_, 1), kLeastWindow, kMostWindow);
+}
+
+Stream::Stream(ByteBudget& budget, std::size_t keep) : budget_(budget), keep_(keep) { ++budget_.open_; }
+
+Stream::~Stream() {
+  --budget_.open_;
+  budget_.held_ -= bytes_.size() - head_;
+}
+
+std::size_t Stream::Room() const {
+  if (abandoned_) return ByteBudget::kLeastWindow;
+  // What is only kept does not count: it is bounded by `keep`.
+  const auto waiting = static_cast<std::size_t>(size() - next_);
+  const std::size_t window = budget_.Window();
+  return window > waiting ? window - waiting : 0;
+}
+
+void Stream::Append(std::string_view bytes) {
+  if (abandoned_ || state_ != State::kComing || bytes.empty()) return;
+  bytes_.append(bytes);
+  budget_.held_ += bytes.size();
+  DropWhatWasTaken();
+  if (const auto tell = on_bytes) tell();
+}
+
+void Stream::End(State state) {
+  if (state_ != State::kComing) return;
+  state_ = state;
+  if (const auto tell = on_bytes) tell();
+}
+
+bool Stream::Begin() {
+  if (base_ != 0 || abandoned_ || taken_) return false;
+  taken_ = true;
+  next_ = 0;
+  return true;
+}
+
+void Stream::Leave() {
+  taken_ = false;
+  on_bytes = nullptr;
+}
+
+void Stream::Take(std::size_t size) {
+  next_ += size;
+  DropWhatWasTaken();
+  if (const auto tell = on_room) tell();
+}
+
+void Stream::Abandon() {
+  abandoned_ = true;
+  on_bytes = nullptr;
+  next_ = size();
+  Drop(bytes_.size() - head_);
+  if (const auto tell = on_room) tell();
+}
+
+void Stream::DropWhatWasTaken() {
+  const bool keeps = size() <= keep_ && budget_.held_ <= budget_.bytes_ / 2;
+  if (!keeps && next_ > base_) Drop(static_cast<std::size_t>(next_ - base_));
+}
+
+void Stream::Drop(std::size_t size) {
+  head_ += size;
+  base_ += size;
+  budget_.held_ -= size;
+  // Moving the rest forward costs no more than its bytes did, once each.
+  if (head_ * 2 < bytes_.size()) return;
+  bytes_.erase(0, head_);
+  head_ = 0;
+}
+
+}  // namespace mothrack
--- a/handover/handover.cpp
+++ b/handover/handover.cpp
@@ -144,11 +144,12 @@
       acceptor_(io),
       predecessor_(std::move(predecessor)) {
   if (!predecessor_) return;
-  predecessor_->Start([this](const json& line) { owner_.Heard(line); },
-                      [this] {
-                        predecessor_.reset();
-                        owner_.PredecessorGone();
-                      });
+  const auto link = predecessor_;  // it may end at once
+  link->Start([this](const json& line) { owner_.Heard(line); },
+              [this] {
+                predecessor_.reset();
+                owner_.PredecessorGone();
+              });
 }
 
 Handover::~Handover() {
--- a/http/front.cpp
+++ b/http/front.cpp
@@ -47,9 +47,9 @@
 bool GoodId(string_view id) { return !id.empty() && id.size() <= kLongestId && Visible(id); }
 
 // Does the method tell the same as the class? What contradicts itself could be repeated against its class.
-bool Fits(const HttpRequest& request, kestrellb::Effect effect) {
+bool Fits(const HttpRequest& request, bool body, kestrellb::Effect effect) {
   if (effect == kestrellb::Effect::kSafe) {
-    return request.method() == http::verb::get && request.body().empty();
+    return request.method() == http::verb::get && !body;
   }
   const auto key = Single(request, "Idempotency-Key");
   const bool keyed = key && GoodId(*key);
@@ -91,6 +91,10 @@
   return response;
 }
 
+ComingBody Coming(Final& final) {
+  return final.streaming ? std::move(static_cast<HttpReply&>(*final.reply).coming) : ComingBody{};
+}
+
 HttpResponse ToResponse(Final& final) {
   switch (final.kind) {
     case Final::Kind::kServed:
@@ -107,11 +111,12 @@
 }  // namespace
 
 HttpFront::HttpFront(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors,
-                     Logger& log, Dispatcher& dispatcher)
+                     ByteBudget& budget, Logger& log, Dispatcher& dispatcher)
     : dispatcher_(dispatcher),
-      listener_(io, where, descriptors, log, [this](HttpRequest request, Listener::Reply reply) {
-        return Take(std::move(request), std::move(reply));
-      }) {
+      listener_(io, where, descriptors, budget, log,
+                [this](HttpRequest request, ComingBody coming, Listener::Reply reply) {
+                  return Take(std::move(request), std::move(coming), std::move(reply));
+                }) {
   const kestrellb::Settings& settings = dispatcher.settings();
   for (std::size_t i = 0; i < settings.classes.size(); ++i) {
     classes_.emplace(settings.classes[i].name, kestrellb::ClassId{i});
@@ -121,18 +126,19 @@
   }
 }
 
-Listener::OnGone HttpFront::Take(HttpRequest request, Listener::Reply reply) {
+Listener::Taken HttpFront::Take(HttpRequest request, ComingBody coming, Listener::Reply reply) {
   const TimePoint now = Now();
   const auto bad = [&reply](const std::string& why) {
-    reply(Unfit(why));
-    return nullptr;
+    reply(Unfit(why), {});
+    return Listener::Taken{};
   };
   RemoveHopByHop(request);  // first: `Connection` may name what is checked below
   if (!Visible(request.target())) return bad("bad target");
   const auto cls = classes_.find(std::string(FirstPart(request.target())));
   if (cls == classes_.end()) return bad("unknown class");
   const auto& known = dispatcher_.settings().classes[static_cast<std::size_t>(cls->second)];
-  if (!Fits(request, known.effect)) return bad("method or Idempotency-Key does not fit the class");
+  const bool body = coming || !request.body().empty();
+  if (!Fits(request, body, known.effect)) return bad("method or Idempotency-Key does not fit the class");
   const auto wire_id = Single(request, "X-Request-ID");
   if (!wire_id || !GoodId(*wire_id)) return bad("missing or bad X-Request-ID");
   const auto timeout_text = Single(request, "X-Timeout-Ms");
@@ -143,18 +149,24 @@
 
   NewRequest taken;
   taken.request_class = cls->second;
-  taken.deadline = now + std::max<Duration>(milliseconds(*timeout) - kTrip, milliseconds(1));
+  const Duration patience = std::max<Duration>(milliseconds(*timeout) - kTrip, milliseconds(1));
+  taken.deadline = now + patience;
+  taken.arriving = static_cast<bool>(coming);
   if (const auto tenant = tenants_.find(std::string(request["X-Tenant-Id"])); tenant != tenants_.end()) {
     taken.tenant = tenant->second;
   }
   if (const auto cost = Whole<std::uint32_t>(request["X-Cost"])) taken.work = Duration(*cost);
   taken.client_retry = request["X-Retried"] == "1";
   taken.key = std::string(*wire_id);  // two requests of one id could not be told apart upstream
-  taken.message = std::make_shared<const HttpMessage>(std::move(request));
-  taken.on_final = [reply](Final final) { reply(ToResponse(final)); };
+  taken.message = std::make_shared<const HttpMessage>(std::move(request), std::move(coming));
+  taken.on_final = [reply](Final final) {
+    ComingBody answer = Coming(final);
+    reply(ToResponse(final), std::move(answer));
+  };
   const auto id = dispatcher_.Take(std::move(taken));
   if (!id) return bad("X-Request-ID is taken");
-  return [this, id = *id] { dispatcher_.Gone(id); };
+  return {[this, id = *id] { dispatcher_.Gone(id); },
+          [this, id = *id, patience] { dispatcher_.Whole(id, Now() + patience); }};
 }
 
 }  // namespace mothrack
--- a/http/front.h
+++ b/http/front.h
@@ -14,8 +14,8 @@
 class HttpFront {
  public:
   // Takes requests at once. Throws boost::system::system_error where it can't listen.
-  HttpFront(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors, Logger& log,
-            Dispatcher& dispatcher);
+  HttpFront(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors, ByteBudget& budget,
+            Logger& log, Dispatcher& dispatcher);
 
   Endpoint local() const { return listener_.local(); }
   void HandOver() { listener_.HandOver(); }
@@ -27,7 +27,7 @@
   void Drain(std::function<void()> done) { listener_.Drain(std::move(done)); }
 
  private:
-  Listener::OnGone Take(HttpRequest request, Listener::Reply reply);
+  Listener::Taken Take(HttpRequest request, ComingBody coming, Listener::Reply reply);
 
   Dispatcher& dispatcher_;
   std::map<std::string, kestrellb::ClassId, std::less<>> classes_;
--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -1,5 +1,7 @@
 #include "http/listener.h"
 
+#include "http/body_writer.h"
+
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -36,6 +38,10 @@
 // Whoever sends on for long after the last answer gets the reset: reading megabytes to the end is no service.
 constexpr std::size_t kMostLinger = 256 * 1024;
 constexpr std::size_t kReadSize = 8192;
+// A body may come as slowly as this, bytes a second, and an answer be taken with pauses as long: usual clients on
+// bad lines. The system may hold much of an answer, which the client takes before any of ours moves on.
+constexpr std::int64_t kLeastRate = 16 * 1024;
+constexpr Duration kLongestPause = seconds(30);
 // Clients go on opening connections for a moment after a planned stop began.
 constexpr Duration kAcceptWhileDraining = milliseconds(800);
 // A connection opened in that time is about to carry a request.
@@ -70,14 +76,18 @@
     error_code ignored;
     socket_.close(ignored);
     slot_.reset();
-    if (owner_ != nullptr) owner_->connections_.erase(shared_from_this());
-    if (const auto gone = std::exchange(gone_, nullptr)) gone();
+    const auto self = shared_from_this();
+    if (owner_ != nullptr) owner_->connections_.erase(self);
+    // First: what is told then ends the attempts, and nobody waits for the rest of a body any more.
+    if (const auto gone = std::exchange(taken_, {}).gone) gone();
+    if (const auto upload = std::exchange(upload_, nullptr)) upload->End(Stream::State::kBroken);
+    if (writer_) writer_->stream().Abandon();
   }
 
   // The listener is going: handlers that are still to come must not touch it.
   void Drop() {
     owner_ = nullptr;
-    gone_ = nullptr;
+    taken_ = {};
     Close();
   }
 
@@ -107,9 +117,7 @@
 
   // Ends what has had its time.
   void CloseIfOverdue(TimePoint now) {
-    if (closed_ || state_ == State::kServing ||
-        now - since_ <= (state_ == State::kLingering ? kLinger : kStalled))
-      return;
+    if (closed_ || (state_ == State::kServing && !upload_) || now - since_ <= Patience(now)) return;
     if (state_ != State::kReading) return Close();
     if (started_) return Reject(http::status::request_timeout, "request did not come in time");
     if (unused_) Close();
@@ -120,10 +128,23 @@
  private:
   enum class State { kReading, kServing, kWriting, kLingering };
 
+  // Counted from since_ on.
+  Duration Patience(TimePoint now) const {
+    if (state_ == State::kLingering) return cut_upload_ ? kStalled : kLinger;
+    if (state_ == State::kWriting) return writer_ ? kLongestPause : kStalled;
+    const Duration blocked = blocked_ + (blocked_since_ ? now - *blocked_since_ : Duration::zero());
+    const auto came = static_cast<std::int64_t>(came_);
+    return kStalled + blocked + Duration(came * Duration::period::den / kLeastRate);
+  }
+
   void NewParser() {
     parser_.emplace();
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
+    parser_->get().body().room = kMostWhole;
+    came_ = 0;
+    blocked_ = Duration::zero();
+    blocked_since_.reset();
     started_ = false;
     head_checked_ = false;
     scanned_ = 0;
@@ -134,6 +155,12 @@
   // Waits without a buffer: hundreds of connections may be idle.
   void Read() {
     if (reading_ || closed_ || buffer_.size() == buffer_.max_size()) return;
+    // Its upstream takes the body more slowly than it comes.
+    if (upload_ && upload_->Room() == 0) {
+      if (!blocked_since_) blocked_since_ = Now();
+      return;
+    }
+    if (blocked_since_) blocked_ += Now() - *std::exchange(blocked_since_, std::nullopt);
     reading_ = true;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
       self->reading_ = false;
@@ -144,7 +171,7 @@
   }
 
   void Receive() {
-    const std::size_t room = std::min(buffer_.max_size() - buffer_.size(), kReadSize);
+    const std::size_t room = std::min(buffer_.max_size() - buffer_.size(), upload_ ? kMostRead : kReadSize);
     error_code error;
     const std::size_t size = socket_.read_some(buffer_.prepare(room), error);
     if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) return Read();
@@ -154,17 +181,26 @@
   }
 
   void Progress() {
+    if (parsing_ || closed_) return;
     if (state_ == State::kLingering) {
       lingered_ += buffer_.size();
+      if (cut_upload_ && buffer_.size() > 0) since_ = Now();
       buffer_.consume(buffer_.size());
-      if (lingered_ > kMostLinger) return Close();
+      if (lingered_ > (cut_upload_ ? kMostBody : kMostLinger)) return Close();
     }
-    if (state_ == State::kReading) Parse();
+    parsing_ = true;
+    Parse();
+    parsing_ = false;
     Read();
   }
 
   void Parse() {
-    while (state_ == State::kReading && buffer_.size() > 0) {
+    while ((state_ == State::kReading || upload_) && buffer_.size() > 0 && !closed_) {
+      if (upload_) {
+        const std::size_t room = upload_->Room();
+        if (room == 0) return;
+        parser_->get().body().room = room;
+      }
       if (!std::exchange(started_, true) && !std::exchange(unused_, false)) since_ = Now();
       if (!parser_->is_header_done()) {
         const Head head = LookAtHead(Unparsed(), scanned_);
@@ -176,14 +212,26 @@
       error_code error;
       const std::size_t used = parser_->put(buffer_.data(), error);
       buffer_.consume(used);
-      if (error == http::error::need_more) error = {};
+      const bool long_body = error == http::error::need_buffer;
+      if (error == http::error::need_more || long_body) error = {};
+      came_ += parser_->is_header_done() ? used : 0;
+      if (upload_ && error) return Close();
+      if (upload_ && !PassOn()) return;
       if (error == http::error::body_limit) return Reject(http::status::payload_too_large, "body too large");
       if (error) return Reject(http::status::bad_request, error.message());
       if (parser_->is_header_done() && !std::exchange(head_checked_, true)) {
         if (const char* fault = FramingFault(parser_->get())) return Reject(http::status::bad_request, fault);
         Continue();
       }
-      if (parser_->is_done()) return Serve();
+      if (parser_->is_done()) {
+        if (!upload_) return Serve(Whole(), {});
+        Uploaded();
+        continue;
+      }
+      if (long_body && !upload_) {
+        Upload();
+        continue;
+      }
       if (used == 0) return;
     }
   }
@@ -192,6 +240,46 @@
     return {static_cast<const char*>(buffer_.data().data()), buffer_.data().size()};
   }
 
+  HttpRequest Whole() {
+    auto whole = parser_->release();
+    HttpRequest request;
+    request.base() = std::move(whole.base());
+    request.body() = std::move(whole.body().bytes);
+    return request;
+  }
+
+  // A body longer than is kept whole: the request goes its way, and the body follows as it comes.
+  void Upload() {
+    HttpRequest request;
+    request.base() = parser_->get().base();
+    upload_ = std::make_shared<Stream>(owner_->budget_, kMostKept);
+    upload_->on_room = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->Progress();
+    };
+    ComingBody coming{upload_, std::nullopt};
+    if (const auto length = parser_->content_length()) coming.length = *length;
+    const auto upload = upload_;
+    Serve(std::move(request), std::move(coming));
+    if (upload_) PassOn();
+  }
+
+  // What has been read of the body goes on; false where that ended the upload.
+  bool PassOn() {
+    std::string& bytes = parser_->get().body().bytes;
+    const auto upload = upload_;
+    upload->Append(bytes);
+    bytes.clear();
+    return upload_ == upload;
+  }
+
+  void Uploaded() {
+    const auto upload = std::exchange(upload_, nullptr);
+    std::size_t scanned = 0;
+    if (buffer_.size() > 0 && LookAtHead(Unparsed(), scanned) == Head::kBad) close_after_ = true;
+    if (const auto whole = std::exchange(taken_.whole, nullptr)) whole();
+    upload->End(Stream::State::kWhole);
+  }
+
   // Whoever sent this can't be followed any further: nothing behind it on this connection is read as a
   // request.
   void Reject(http::status status, const std::string& why) {
@@ -207,13 +295,12 @@
     socket_.write_some(boost::asio::buffer(kGoOn, sizeof kGoOn - 1), ignored);
   }
 
-  void Serve() {
-    HttpRequest request = parser_->release();
+  void Serve(HttpRequest request, ComingBody coming) {
     // Trailers have joined the head. And what follows a body must begin like a request, or its length was
     // wrong.
     if (const char* fault = FramingFault(request)) return Reject(http::status::bad_request, fault);
     std::size_t scanned = 0;
-    if (buffer_.size() > 0 && LookAtHead(Unparsed(), scanned) == Head::kBad) {
+    if (!coming && buffer_.size() > 0 && LookAtHead(Unparsed(), scanned) == Head::kBad) {
       return Reject(http::status::bad_request, "no request behind the body");
     }
     if (!request.keep_alive()) close_after_ = true;
@@ -226,21 +313,28 @@
       return Answer(draining ? Plain(http::status::service_unavailable, "draining")
                              : Plain(http::status::ok, "up"));
     }
-    auto reply = [self = shared_from_this()](HttpResponse response) {
-      self->gone_ = nullptr;
-      if (!self->closed_) self->Answer(std::move(response));
+    auto reply = [self = shared_from_this()](HttpResponse response, ComingBody answer) {
+      if (!answer) self->taken_ = {};
+      if (!self->closed_) return self->Answer(std::move(response), std::move(answer));
+      if (answer) answer.stream->Abandon();
     };
-    auto gone = owner_->on_request_(std::move(request), std::move(reply));
-    if (state_ == State::kServing) gone_ = std::move(gone);
+    auto taken = owner_->on_request_(std::move(request), std::move(coming), std::move(reply));
+    if (state_ == State::kServing) taken_ = std::move(taken);
   }
 
-  void Answer(HttpResponse response) {
+  void Answer(HttpResponse response, ComingBody coming = {}) {
     state_ = State::kWriting;
     since_ = Now();
+    // Answered before its body had come: the client may not look before it has sent all of it.
+    if (const auto upload = std::exchange(upload_, nullptr)) {
+      upload->Abandon();
+      cut_upload_ = close_after_ = true;
+    }
     // The one who finds a request unfit asks for the close by the answer.
     if (!response.keep_alive() || (owner_ != nullptr && owner_->resting())) close_after_ = true;
     response_ = std::move(response);
     response_.version(version_);
+    if (coming) return AnswerAsItComes(std::move(coming));
     response_.keep_alive(!close_after_);
     response_.prepare_payload();
     http::async_write(socket_, response_, [self = shared_from_this()](error_code error, std::size_t) {
@@ -250,6 +344,64 @@
     });
   }
 
+  void AnswerAsItComes(ComingBody coming) {
+    auto framing = BodyWriter::Framing::kLength;
+    if (coming.length) {
+      response_.content_length(*coming.length);
+    } else if (version_ == 11) {
+      framing = BodyWriter::Framing::kChunked;
+      response_.chunked(true);
+    } else {
+      framing = BodyWriter::Framing::kConnection;
+      close_after_ = true;
+    }
+    response_.keep_alive(!close_after_);
+    coming.stream->on_bytes = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->Pump();
+    };
+    writer_.emplace(ToText(response_.base()), std::move(coming.stream), framing);
+    Pump();
+  }
+
+  // Writes what there is of the answer. Called again when there is room, or more.
+  void Pump() {
+    if (closed_ || !writer_ || pumping_ || waits_to_write_) return;
+    const auto before = writer_->written();
+    pumping_ = true;
+    const auto progress = writer_->Write(socket_);
+    pumping_ = false;
+    if (closed_) return;
+    // While there is nothing to take the client is not to blame.
+    if (writer_->written() > before || progress == BodyWriter::Progress::kNoBytes) since_ = Now();
+    switch (progress) {
+      case BodyWriter::Progress::kNoBytes:
+        return;
+      case BodyWriter::Progress::kSocketFull:
+        waits_to_write_ = true;
+        return socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
+          self->waits_to_write_ = false;
+          if (self->closed_ || self->owner_ == nullptr) return;
+          if (error) return self->Close();
+          self->Pump();
+        });
+      case BodyWriter::Progress::kDone:
+        taken_ = {};
+        writer_.reset();
+        return Answered();
+      case BodyWriter::Progress::kCut:
+        if (writer_->framing() == BodyWriter::Framing::kConnection) Reset();
+        [[fallthrough]];
+      case BodyWriter::Progress::kFailed:
+        return Close();
+    }
+  }
+
+  // Only this tells a client that an answer which ends with its connection is not whole.
+  void Reset() {
+    error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
+
   void Answered() {
     response_ = {};
     if (close_after_) {
@@ -268,9 +420,11 @@
   std::optional<Descriptors::Slot> slot_;
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<PieceBody>> parser_;
   HttpResponse response_;
-  OnGone gone_;
+  Taken taken_;
+  std::shared_ptr<Stream> upload_;    // of the request that was handed on while its body still comes
+  std::optional<BodyWriter> writer_;  // of the answer that is passed on while it comes
   State state_ = State::kReading;
   TimePoint since_;  // of the state, or of a request's first byte
   unsigned version_ = 11;
@@ -280,13 +434,21 @@
   std::size_t scanned_ = 0;   // of a head that is still to come whole
   std::size_t lingered_ = 0;  // bytes read since the last answer
   bool close_after_ = false;
+  bool cut_upload_ = false;    // it was answered before its body had come
+  std::uint64_t came_ = 0;     // of the body
+  Duration blocked_{};         // the time for which nothing was read since nobody took it
+  std::optional<TimePoint> blocked_since_;
+  bool parsing_ = false;
+  bool pumping_ = false;
+  bool waits_to_write_ = false;
   bool reading_ = false;
   bool closed_ = false;
 };
 
 Listener::Listener(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors,
-                   Logger& log, OnRequest on_request)
+                   ByteBudget& budget, Logger& log, OnRequest on_request)
     : descriptors_(descriptors),
+      budget_(budget),
       log_(log),
       on_request_(std::move(on_request)),
       acceptor_(io, where, "", *this, log),
--- a/http/listener.h
+++ b/http/listener.h
@@ -19,15 +19,20 @@
 
 class Listener : private Acceptor::Owner {
  public:
-  using Reply = std::function<void(HttpResponse)>;
-  // What is to be done when the client leaves before its answer.
-  using OnGone = std::function<void()>;
-  // Takes one request and calls `reply` once, perhaps at once.
-  using OnRequest = std::function<OnGone(HttpRequest request, Reply reply)>;
+  // The body of an answer may still be coming.
+  using Reply = std::function<void(HttpResponse, ComingBody)>;
+  // What is to be done when the client leaves before its answer is whole; when the last byte has come of a
+  // request that was handed on before.
+  struct Taken {
+    std::function<void()> gone;
+    std::function<void()> whole;
+  };
+  // Takes one request, whose body may still be coming, and calls `reply` once, perhaps at once.
+  using OnRequest = std::function<Taken(HttpRequest request, ComingBody coming, Reply reply)>;
 
   // Binds and listens; throws boost::system::system_error.
-  Listener(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors, Logger& log,
-           OnRequest on_request);
+  Listener(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors,
+           ByteBudget& budget, Logger& log, OnRequest on_request);
   ~Listener();
 
   Endpoint local() const { return acceptor_.local(); }
@@ -54,6 +59,7 @@
   void Sweep();
 
   Descriptors& descriptors_;
+  ByteBudget& budget_;
   Logger& log_;
   const OnRequest on_request_;
   std::set<std::shared_ptr<Connection>> connections_;
--- a/http/messages.h
+++ b/http/messages.h
@@ -1,15 +1,25 @@
 // The HTTP messages that front and transport hand each other through the dispatcher, and the bounds on them.
 #pragma once
 
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <sstream>
 #include <utility>
 
 #include "core/exchange.h"
+#include "core/stream.h"
 
 namespace mothrack {
 
@@ -18,17 +28,73 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+// A body that still comes, while its message is on its way already. The message's own body is empty then.
+struct ComingBody {
+  std::shared_ptr<Stream> stream;       // null: the message is whole
+  std::optional<std::uint64_t> length;  // absent: its end will tell
+  explicit operator bool() const { return stream != nullptr; }
+};
+
 struct HttpMessage : Message {
-  explicit HttpMessage(HttpRequest request) : request(std::move(request)) {}
+  explicit HttpMessage(HttpRequest request, ComingBody coming = {})
+      : request(std::move(request)), coming(std::move(coming)) {}
   HttpRequest request;
+  ComingBody coming;
 };
 
 struct HttpReply : Reply {
-  explicit HttpReply(HttpResponse response) : response(std::move(response)) {}
+  explicit HttpReply(HttpResponse response, ComingBody coming = {})
+      : response(std::move(response)), coming(std::move(coming)) {}
   HttpResponse response;
+  ComingBody coming;
+};
+
+// What a parser has read of a body and nobody has taken yet; it stops with http::error::need_buffer at `room`.
+struct Piece {
+  std::string bytes;
+  std::size_t room = 0;
 };
 
-constexpr std::uint64_t kMostBody = 64 * 1024;
+// A Beast Body of which a parser holds one piece at a time.
+struct PieceBody {
+  using value_type = Piece;
+  class reader {
+   public:
+    template <bool isRequest, class Fields>
+    reader(http::header<isRequest, Fields>&, value_type& piece) : piece_(piece) {}
+    void init(const boost::optional<std::uint64_t>&, boost::system::error_code& error) { error = {}; }
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, boost::system::error_code& error) {
+      error = {};
+      std::size_t used = 0;
+      for (const boost::asio::const_buffer part : boost::beast::buffers_range_ref(buffers)) {
+        const std::size_t room = piece_.room > piece_.bytes.size() ? piece_.room - piece_.bytes.size() : 0;
+        const std::size_t size = std::min(room, part.size());
+        piece_.bytes.append(static_cast<const char*>(part.data()), size);
+        used += size;
+        if (size < part.size()) {
+          error = http::error::need_buffer;
+          break;
+        }
+      }
+      return used;
+    }
+    void finish(boost::system::error_code& error) { error = {}; }
+
+   private:
+    value_type& piece_;
+  };
+};
+
+// Bodies up to this are kept whole on their way: what is sent again is all there, and an answer that breaks is
+// never begun. Longer ones pass through in pieces.
+constexpr std::size_t kMostWhole = 64 * 1024;
+// An answer that does not tell its length begins its way earlier: it may take long to grow that far.
+constexpr std::size_t kMostWholeUntold = 16 * 1024;
+// No longer body is passed on at all.
+constexpr std::uint64_t kMostBody = 64 * 1024 * 1024;
+// A request's body that was passed on is kept until it is longer than this, to be sent again where nothing ran.
+constexpr std::size_t kMostKept = 512 * 1024;
 constexpr std::uint32_t kMostHeader = 16 * 1024;
 // What a connection reads ahead of its parser.
 constexpr std::size_t kMostRead = 32 * 1024;
@@ -43,6 +109,14 @@
 // the next. Names what is wrong with it; null where nothing is.
 const char* FramingFault(const http::request_header<>& header);
 
+// A head as it goes over the wire, with its empty line.
+template <bool isRequest>
+std::string ToText(const http::header<isRequest>& header) {
+  std::ostringstream text;
+  text << header;
+  return text.str();
+}
+
 // Takes away what speaks of one connection only and must not be passed on.
 void RemoveHopByHop(http::fields& fields);
 
--- a/http/transport.cpp
+++ b/http/transport.cpp
@@ -1,5 +1,7 @@
 #include "http/transport.h"
 
+#include "http/body_writer.h"
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -31,6 +33,9 @@
 
 // Interim answers ahead of the one answer; more are no honest upstream's.
 constexpr int kMostInterim = 8;
+// A body that its upstream does not take, and an answer that stops, for so long are given up.
+constexpr Duration kStalledWrite = std::chrono::seconds(5);
+constexpr Duration kSilentAnswer = std::chrono::seconds(15);
 // No load is beyond this, whatever its unit.
 constexpr double kMostLoad = 1e6;
 
@@ -71,12 +76,12 @@
   return load;
 }
 
-// Does the head tell where a served answer ends? One that ends with its connection can't be told from one
-// that was cut short.
-bool TellsItsEnd(const http::response_parser<http::string_body>& parser) {
+// Does the head tell where a served answer ends? One that ends with its connection is told by that (RFC 9112
+// section 6.3) where its head says that the connection ends; otherwise it can't be told from one that was cut.
+bool TellsItsEnd(const http::response_parser<PieceBody>& parser) {
   const auto& header = parser.get();
   const auto codings = header.count(http::field::transfer_encoding);
-  if (codings == 0) return parser.content_length().has_value();
+  if (codings == 0) return parser.content_length().has_value() || !header.keep_alive();
   return codings == 1 && boost::beast::iequals(header[http::field::transfer_encoding], "chunked");
 }
 
@@ -115,18 +120,18 @@
   void Start(ExchangeId id, std::shared_ptr<const HttpMessage> message, Duration timeout,
              ExchangeHooks hooks) {
     id_ = id;
-    request_ = std::shared_ptr<const HttpRequest>(message, &message->request);
+    message_ = std::move(message);
+    written_ = started_ = false;
     hooks_ = std::move(hooks);
     sent_ = Now();
+    timeout_ = timeout;
     gives_up_ = sent_ + timeout;
+    // Of a message that still comes the time counts from its last byte on.
+    arriving_ = message_->coming && message_->coming.stream->state() == Stream::State::kComing;
     phase_ = connected_ ? Phase::kWriting : Phase::kConnecting;
     ++use_;
     interim_ = 0;
-    if (connected_) {
-      ArmTimer(gives_up_);
-      Read();
-      return Write();
-    }
+    if (connected_) return Begin();
     ArmTimer(std::min(gives_up_, sent_ + owner_.connect_timeout_));
     const auto pool = pool_.lock();
     socket_.async_connect(pool->location.endpoint, [self = shared_from_this()](error_code error) {
@@ -134,9 +139,7 @@
       if (error) return self->End(Cause::kBroken);
       self->connected_ = true;
       self->phase_ = Phase::kWriting;
-      self->ArmTimer(self->gives_up_);
-      self->Read();
-      self->Write();
+      self->Begin();
     });
   }
 
@@ -182,6 +185,19 @@
  private:
   enum class Phase { kIdle, kConnecting, kWriting, kWaiting };
 
+  void Begin() {
+    if (arriving_) {
+      DisarmTimer();
+    } else {
+      ArmTimer(gives_up_);
+    }
+    Read();
+    Write();
+  }
+
+  // Also makes void what has fired and not been handled.
+  void DisarmTimer() { timer_.expires_at(std::chrono::steady_clock::time_point::max()); }
+
   void ArmTimer(TimePoint at) {
     timer_.expires_at(ToSteady(at));
     timer_.async_wait([self = shared_from_this()](error_code error) {
@@ -193,19 +209,22 @@
   }
 
   void Write() {
-    message_.emplace(request_->method(), request_->target(), 11);
-    message_->base() = request_->base();
-    message_->version(11);
+    const HttpRequest& request = message_->request;
+    sending_.emplace(request.method(), request.target(), 11);
+    sending_->base() = request.base();
+    sending_->version(11);
     // The peer learns how long it will be waited for from now on, which is what is left after connecting.
-    const auto left = std::chrono::duration_cast<milliseconds>(gives_up_ - Now()).count();
-    message_->set("X-Timeout-Ms", std::to_string(std::max<std::int64_t>(left, 1)));
-    message_->body() = {request_->body().data(), request_->body().size()};
-    message_->prepare_payload();
-    serializer_.emplace(*message_);
+    const Duration patience = arriving_ ? timeout_ : Duration(gives_up_ - Now());
+    const auto left = std::chrono::duration_cast<milliseconds>(patience).count();
+    sending_->set("X-Timeout-Ms", std::to_string(std::max<std::int64_t>(left, 1)));
+    if (message_->coming) return WriteAsItComes();
+    sending_->body() = {request.body().data(), request.body().size()};
+    sending_->prepare_payload();
+    serializer_.emplace(*sending_);
     write_pending_ = true;
     http::async_write(socket_, *serializer_, [self = shared_from_this()](error_code error, std::size_t) {
       self->write_pending_ = false;
-      if (self->serializer_->is_done()) self->hooks_.on_written();
+      if (self->serializer_->is_done()) self->Written();
       if (self->ending_) return self->Finish(*self->ending_);
       if (self->closed_) return;
       if (error) return self->End(Cause::kBroken);
@@ -213,9 +232,62 @@
     });
   }
 
+  void Written() {
+    written_ = true;
+    hooks_.on_written();
+  }
+
+  void WriteAsItComes() {
+    const ComingBody& coming = message_->coming;
+    if (coming.length) sending_->content_length(*coming.length);
+    if (!coming.length) sending_->chunked(true);
+    coming.stream->on_bytes = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->Pump();
+    };
+    writer_.emplace(ToText(sending_->base()), coming.stream,
+                    coming.length ? BodyWriter::Framing::kLength : BodyWriter::Framing::kChunked);
+    Pump();
+  }
+
+  // Writes what there is of the request's body. Called again when there is room, or more.
+  void Pump() {
+    if (closed_ || !writer_ || pumping_ || waits_to_write_) return;
+    pumping_ = true;
+    const auto progress = writer_->Write(socket_);
+    pumping_ = false;
+    if (closed_) return;
+    switch (progress) {
+      case BodyWriter::Progress::kNoBytes:
+        if (arriving_) DisarmTimer();
+        return;
+      case BodyWriter::Progress::kSocketFull:
+        if (arriving_) ArmTimer(Now() + kStalledWrite);
+        waits_to_write_ = true;
+        return socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
+          self->waits_to_write_ = false;
+          if (self->closed_) return;
+          if (error) return self->End(Cause::kBroken);
+          self->Pump();
+        });
+      case BodyWriter::Progress::kDone:
+        writer_.reset();
+        phase_ = Phase::kWaiting;
+        if (std::exchange(arriving_, false)) {
+          sent_ = Now();
+          gives_up_ = sent_ + timeout_;
+          ArmTimer(gives_up_);
+        }
+        return Written();
+      case BodyWriter::Progress::kCut:
+      case BodyWriter::Progress::kFailed:
+        return End(Cause::kBroken);
+    }
+  }
+
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMostBody);
+    parser_->get().body().room = kMostWhole;
     parser_->header_limit(kMostHeader);
     // The header on its own first: Beast 1.74 forgets that the body is beyond the bound where the first of
     // the body comes along with the header, and would take all of it.
@@ -234,10 +306,56 @@
       return Read();
     }
     // Nor does an upstream have an answer before it has the whole request.
-    if (status == 200 && (write_pending_ || !TellsItsEnd(*parser_))) return End(Cause::kBroken);
+    if (status == 200 && (!written_ || !TellsItsEnd(*parser_))) return End(Cause::kBroken);
+    const auto length = parser_->content_length();
+    if (status == 200 && length && *length > kMostWhole) return StartAnswer();
+    if (status == 200 && !length) parser_->get().body().room = kMostWholeUntold;
     ReadBody();
   }
 
+  // A long answer is passed on as it comes: from here on it has no deadline but may not stop for long.
+  void StartAnswer() {
+    if (!hooks_.on_started) return End(Cause::kBroken);
+    HttpResponse head;
+    head.base() = parser_->get().base();
+    ComingBody coming{std::make_shared<Stream>(owner_.budget_, 0), std::nullopt};
+    if (const auto length = parser_->content_length()) coming.length = *length;
+    answer_ = coming.stream;
+    answer_->Append(parser_->get().body().bytes);
+    parser_->get().body().bytes.clear();
+    answer_->on_room = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->ReadMore();
+    };
+    DisarmTimer();
+    started_ = true;
+    hooks_.on_started(std::make_unique<HttpReply>(std::move(head), std::move(coming)));
+    ReadMore();
+  }
+
+  void ReadMore() {
+    if (closed_ || reading_more_ || !answer_) return;
+    const std::size_t room = answer_->Room();
+    // The client takes its time.
+    if (room == 0) return DisarmTimer();
+    parser_->get().body().room = room;
+    reading_more_ = true;
+    ArmTimer(Now() + kSilentAnswer);
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                            if (!self->closed_) self->OnMore(error);
+                          });
+  }
+
+  void OnMore(error_code error) {
+    if (error && error != http::error::need_buffer) return End(Cause::kBroken);
+    answer_->Append(parser_->get().body().bytes);
+    if (closed_) return;
+    parser_->get().body().bytes.clear();
+    reading_more_ = false;
+    if (parser_->is_done()) return Served();
+    ReadMore();
+  }
+
   void ReadBody() {
     http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
       if (!self->closed_) self->OnRead(error);
@@ -245,13 +363,28 @@
   }
 
   void OnRead(error_code error) {
-    if (error) return End(Cause::kBroken);
-    HttpResponse response = parser_->release();
+    const bool longer = error == http::error::need_buffer;
+    if (longer && parser_->get().result_int() == 200) return StartAnswer();
+    if (error && !longer) return End(Cause::kBroken);
+    Served();
+  }
+
+  void Served() {
+    const bool whole = parser_->is_done();
+    const bool keep_alive = parser_->get().keep_alive() && !parser_->need_eof();
+    auto answer = parser_->release();
+    HttpResponse response;
+    response.base() = std::move(answer.base());
+    response.body() = std::move(answer.body().bytes);
     ExchangeResult result{Classify(response), Now() - sent_, ParseLoad(response["X-Server-Load"]), nullptr};
     // An answer before the request was written out leaves the connection between messages.
-    const bool keep = response.keep_alive() && !write_pending_ && buffer_.size() == 0;
-    if (result.outcome == Outcome::kServed) result.reply = std::make_unique<HttpReply>(std::move(response));
+    const bool keep = keep_alive && whole && written_ && buffer_.size() == 0;
+    if (result.outcome == Outcome::kServed && !started_) {
+      result.reply = std::make_unique<HttpReply>(std::move(response));
+    }
     timer_.cancel();
+    LeaveBody();
+    const auto stream = std::exchange(answer_, nullptr);
     phase_ = Phase::kIdle;
     const auto on_end = std::exchange(hooks_.on_end, nullptr);
     const auto self = shared_from_this();
@@ -265,12 +398,19 @@
       Close();
     }
     on_end(std::move(result));
+    if (stream) stream->End(Stream::State::kWhole);  // last: whoever ends it is not asked about the request again
+  }
+
+  // Another attempt may take the request's body from here on.
+  void LeaveBody() {
+    writer_.reset();
+    if (message_ && message_->coming) message_->coming.stream->Leave();
   }
 
   // An idle connection keeps nothing of its last exchange.
   void Clear() {
-    request_.reset();
     serializer_.reset();
+    sending_.reset();
     message_.reset();
     parser_.reset();
     buffer_.clear();
@@ -286,7 +426,9 @@
   }
 
   void Finish(Cause cause) {
-    const bool written = serializer_ && serializer_->is_done();
+    LeaveBody();
+    const auto stream = std::exchange(answer_, nullptr);
+    const bool written = written_;
     Outcome outcome = Outcome::kNotSent;
     if (cause == Cause::kBroken) outcome = written ? Outcome::kReset : Outcome::kConnectFailed;
     if (cause == Cause::kTimeout) outcome = written ? Outcome::kTimeout : Outcome::kConnectFailed;
@@ -296,6 +438,7 @@
     const auto self = shared_from_this();
     owner_.exchanges_.erase(id_);
     on_end({outcome, Now() - sent_, {}, nullptr});
+    if (stream) stream->End(Stream::State::kBroken);
   }
 
   HttpTransport& owner_;
@@ -304,8 +447,8 @@
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
-  std::optional<http::request<http::span_body<const char>>> message_;
+  std::optional<http::response_parser<PieceBody>> parser_;
+  std::optional<http::request<http::span_body<const char>>> sending_;
   std::optional<http::request_serializer<http::span_body<const char>>> serializer_;
   Phase phase_ = Phase::kIdle;
   bool connected_ = false;
@@ -315,7 +458,16 @@
   std::uint64_t use_ = 0;  // counts the exchanges: a watch that one outran is void
   int interim_ = 0;
   ExchangeId id_{};
-  std::shared_ptr<const HttpRequest> request_;
+  std::shared_ptr<const HttpMessage> message_;
+  std::optional<BodyWriter> writer_;  // of the message's body, as it comes
+  std::shared_ptr<Stream> answer_;    // that is passed on as it comes
+  bool arriving_ = false;             // the message's body still came when it was begun, and is not written
+  bool written_ = false;              // its last byte
+  bool started_ = false;              // the answer is passed on as it comes
+  bool pumping_ = false;
+  bool waits_to_write_ = false;
+  bool reading_more_ = false;
+  Duration timeout_{};
   ExchangeHooks hooks_;
   TimePoint sent_;
   TimePoint gives_up_;
@@ -323,12 +475,13 @@
 };
 
 HttpTransport::HttpTransport(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
-                             Descriptors& descriptors)
+                             Descriptors& descriptors, ByteBudget& budget)
     : io_(io),
       connect_timeout_(limits.connect_timeout),
       trusted_idle_(TrustedIdle(limits.idle_close)),
       probe_target_(load_by_probe ? "/metrics/load" : "/alive"),
       descriptors_(descriptors),
+      budget_(budget),
       sweep_(io) {
   ScheduleSweep();
 }
@@ -375,16 +528,21 @@
     connection = TakeIdle(*it->second);
     if (!connection) connection = Open(it->second);
   }
+  const auto http_message = std::static_pointer_cast<const HttpMessage>(message);
+  // Of a body that is not held from its first byte on any more nothing can be sent again.
+  if (connection && http_message->coming && !http_message->coming.stream->Begin()) {
+    Release(std::exchange(connection, nullptr));
+  }
   if (!connection) return hooks.on_end({Outcome::kNotSent, Duration::zero(), {}, nullptr});
   exchanges_.emplace(id, connection);
-  connection->Start(id, std::static_pointer_cast<const HttpMessage>(message), timeout, std::move(hooks));
+  connection->Start(id, http_message, timeout, std::move(hooks));
 }
 
 void HttpTransport::Probe(ExchangeId id, const std::string& uid, OnEnd on_end) {
   HttpRequest request(http::verb::get, probe_target_, 11);
   request.set(http::field::host, uid);
   Send(id, uid, std::make_shared<HttpMessage>(std::move(request)), connect_timeout_,
-       {[] {},
+       {[] {}, nullptr,
         [by_body = probe_target_ != "/alive", on_end = std::move(on_end)](ExchangeResult result) {
           if (by_body && result.outcome == Outcome::kServed) {
             result.load = ParseLoad(static_cast<const HttpReply&>(*result.reply).response.body());
--- a/http/transport.h
+++ b/http/transport.h
@@ -22,7 +22,7 @@
 class HttpTransport : public Transport {
  public:
   HttpTransport(boost::asio::io_context& io, const kestrellb::Limits& limits, bool load_by_probe,
-                Descriptors& descriptors);
+                Descriptors& descriptors, ByteBudget& budget);
   ~HttpTransport() override;
 
   // Also closes the idle connections of an upstream that drains, is gone, moved or started anew.
@@ -57,6 +57,7 @@
   const Duration trusted_idle_;
   const std::string probe_target_;
   Descriptors& descriptors_;
+  ByteBudget& budget_;
   std::map<std::string, std::shared_ptr<Pool>> pools_;
   std::map<ExchangeId, std::shared_ptr<Connection>> exchanges_;
   boost::asio::steady_timer sweep_;
--- a/include/kestrellb/balancer.h
+++ b/include/kestrellb/balancer.h
@@ -165,6 +165,14 @@
   TimePoint deadline{};            // when the client gives up on this try
   std::optional<Duration> work{};  // expected work, where it is known
   bool client_retry = false;       // a client's own repeat, where clients say so
+  // Its body is still coming: its time, which is as long as `deadline` is off now, counts from RequestWhole on. Its
+  // attempts may begin before.
+  bool arriving = false;
+};
+
+struct RequestWhole {  // the last byte of a request that was arriving has come
+  RequestId request{};
+  TimePoint deadline{};
 };
 
 enum class Outcome {
@@ -186,7 +194,8 @@
   std::optional<double> rate;  // requests served a second
 };
 
-// A streamed answer has begun: the request is the client's now and has no deadline any more.
+// A streamed answer has begun: the request is the client's now and has no deadline any more. It counts as served
+// in time or late by now; only a break of it is still a failure of its upstream.
 struct AnswerStarted {
   RequestId request{};
   AttemptId attempt{};
@@ -216,7 +225,7 @@
   LoadReport load;
 };
 
-using Event = std::variant<MembershipUpdate, RequestArrived, AnswerStarted, AttemptEnded, RequestGone,
+using Event = std::variant<MembershipUpdate, RequestArrived, RequestWhole, AnswerStarted, AttemptEnded, RequestGone,
                            TimerFired, ProbeEnded>;
 
 // ---- Actions ----
@@ -224,7 +233,7 @@
 struct SendAttempt {
   RequestId request{};
   UpstreamId upstream;
-  Duration timeout{};  // always positive
+  Duration timeout{};  // always positive; of an arriving request it counts from its last byte on
 };
 struct CancelAttempt {  // stop waiting for it; it still ends with one AttemptEnded
   RequestId request{};
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -66,6 +66,19 @@
   return sockets;
 }
 
+// What deployments that do not tell have, in MB.
+constexpr std::uint64_t kUsualMemory = 192;
+
+std::size_t Memory(const json& file) {
+  const json& limits = Field(file, "", "limits");
+  const auto field = limits.find("memory_mb");
+  if (field == limits.end()) return kUsualMemory << 20;
+  if (!field->is_number() || !(field->get<double>() >= 1)) {
+    throw ConfigError("LB_CONFIG: limits.memory_mb is no number from 1 on");
+  }
+  return static_cast<std::size_t>(std::min(field->get<double>(), 1e6) * (1 << 20));
+}
+
 kestrellb::Settings ReadSettings(const json& file) {
   try {
     auto settings = kestrellb::wire::ParseSettings(Field(file, "", "settings"));
@@ -92,6 +105,7 @@
   if (!file.is_object()) throw ConfigError("LB_CONFIG: " + path + " holds no JSON object");
   config.seed = Seed(file);
   config.sockets = Sockets(file);
+  config.memory = Memory(file);
   config.settings = ReadSettings(file);
   // The file can be replaced while the process runs, its environment can't: what the file says is newer.
   if (const auto discovery = file.find("discovery"); discovery != file.end()) {
--- a/node/config.h
+++ b/node/config.h
@@ -27,6 +27,7 @@
   std::optional<Endpoint> ops;  // where operators call; absent: nowhere
   std::uint64_t seed = 0;
   std::size_t sockets = 0;
+  std::size_t memory = 0;  // bytes
   nlohmann::json known;  // the list of upstreams as last held, in discovery's form; null where there is none
   kestrellb::Settings settings;
 };
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -25,6 +25,9 @@
 // A successor's known list may be as old as its predecessor; the agent of this machine answers at once.
 constexpr Duration kListPatience = std::chrono::milliseconds(500);
 
+// Of the memory, for bodies that pass through. As much again may be held whole, and as much by the system.
+constexpr std::size_t kBodiesShare = 4;
+
 ListenOn Where(const Config& config, const Sidecar::Inheritance& inheritance) {
   ListenOn where(config.listen);
   where.taken = inheritance.listening;
@@ -38,7 +41,8 @@
 Sidecar::Sidecar(boost::asio::io_context& io, const Config& config, const Inheritance& inheritance,
                  Descriptors& descriptors, Logger& log, std::function<void()> on_ready)
     : log_(log),
-      transport_(io, config.settings.limits, config.settings.load_by_probe, descriptors),
+      budget_(config.memory / kBodiesShare),
+      transport_(io, config.settings.limits, config.settings.load_by_probe, descriptors, budget_),
       dispatcher_(io, config.settings, config.seed, transport_, log, [this] { discovery_.Ask(); }),
       discovery_(
           io, config.discovery, config.settings.membership_on_request, unix_clock_, log,
@@ -49,11 +53,12 @@
           [this] { dispatcher_.MembershipFailed(); }),
       on_ready_(std::move(on_ready)),
       list_awaited_(io),
-      front_(io, Where(config, inheritance), descriptors, log, dispatcher_) {
+      front_(io, Where(config, inheritance), descriptors, budget_, log, dispatcher_) {
   // Before anything is sent.
   dispatcher_.RestoreBans(inheritance.bans);
   for (const std::string& id : inheritance.ids) dispatcher_.KnowKey(id);
   front_.Rest(inheritance.resting);
+  ShareMemory(inheritance.share_memory);
   dispatcher_.Apply(Known(config.known, unix_clock_));
   // Where membership is told on request, the module asks.
   if (!config.settings.membership_on_request) discovery_.Ask();
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -29,6 +29,7 @@
     bool share_port = false;    // another process may listen there, too
     bool wait_for_list = false;  // clients are taken once discovery has told the list, or after a short while
     bool resting = false;
+    bool share_memory = false;  // with the one that served before
     std::set<std::string> bans{};
     std::vector<std::string> ids{};
   };
@@ -43,6 +44,8 @@
   // A successor takes clients from the same socket; it is gone again.
   void HandOver() { front_.HandOver(); }
   void TakeBack() { front_.TakeBack(); }
+  // Another process of this sidecar has half of the memory for bodies.
+  void ShareMemory(bool on) { on ? budget_.Halve() : budget_.Restore(); }
   std::vector<std::string> RecentIds() const { return dispatcher_.RecentKeys(); }
   void KnowId(const std::string& id) { dispatcher_.KnowKey(id); }
   void ObserveIds(std::function<void(const std::string&)> on_id) { dispatcher_.ObserveKeys(std::move(on_id)); }
@@ -64,6 +67,7 @@
  private:
   const UnixClock unix_clock_;
   Logger& log_;
+  ByteBudget budget_;
   HttpTransport transport_;
   Dispatcher dispatcher_;
   Discovery discovery_;
--- a/node/succession.cpp
+++ b/node/succession.cpp
@@ -51,7 +51,7 @@
   inheritance.bans = bans_;
   if (!taken_) return inheritance;
   inheritance.listening = taken_->listening;
-  inheritance.wait_for_list = true;
+  inheritance.wait_for_list = inheritance.share_memory = true;
   inheritance.resting = taken_->state.resting;
   inheritance.ids = taken_->state.ids;
   return inheritance;
@@ -95,6 +95,7 @@
   state.resting = sidecar_->resting();
   kept_ = std::max(descriptors_.used(), descriptors_.full() / 2);
   descriptors_.Cap(kept_);
+  sidecar_->ShareMemory(true);
   state.sockets = kept_;
   return state;
 }
@@ -120,12 +121,14 @@
 void Succession::SuccessorGone() {
   give_back_.cancel();
   descriptors_.Uncap();
+  sidecar_->ShareMemory(false);
   sidecar_->TakeBack();
 }
 
 void Succession::PredecessorGone() {
   log_.Line("handover: the former process is gone");
   descriptors_.Uncap();
+  sidecar_->ShareMemory(false);
 }
 
 void Succession::PredecessorKeeps(std::size_t sockets) {
@@ -149,7 +152,7 @@
   if (const auto id = text("id"); !id.empty()) sidecar_->KnowId(id);
   if (const auto it = line.find("rest"); it != line.end() && it->is_boolean()) sidecar_->Rest(it->get<bool>());
   if (const auto it = line.find("sockets"); it != line.end() && it->is_number_unsigned()) {
-    if (handover_->has_predecessor()) PredecessorKeeps(it->get<std::size_t>());
+    if (!handover_ || handover_->has_predecessor()) PredecessorKeeps(it->get<std::size_t>());
   }
 }
 
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -490,6 +490,7 @@
   }
 
   Duration Timeout(const Request& r) const {
+    if (r.arriving) return r.patience;
     const Duration left = r.deadline - now_;
     // What may be repeated is given up at its aim: another upstream may have time for it, or it is worth
     // nothing. Where late answers have a worth, a second copy does that without losing the first.
@@ -571,8 +572,7 @@
   void SendTo(Request& r, const UpstreamPtr& upstream, bool trial) {
     Upstream& u = *upstream;
     if (Warmth(u) < 1) u.cold_budget -= 1;
-    if (u.outstanding++ == 0) u.waiting_since = now_;
-    peak_held_ = std::max(peak_held_, ++held_);
+    if (!r.arriving) Hold(u);
     if (trial) u.on_trial = true;
     const Duration idle_for = now_ - u.idle_since;
     if (u.idle > 0 && idle_for > trusted_idle_) {
@@ -582,9 +582,22 @@
     const bool connects = !HasConnection(u);
     if (u.idle > 0) --u.idle;
     r.attempts.push_back({upstream, now_, trial, connects, idle_for});
+    r.attempts.back().held = !r.arriving;
     Emit(SendAttempt{r.id, u.info.id, Timeout(r)});
   }
 
+  // What its upstream holds is what it can be late with: not a body that still comes, nor an answer that has begun.
+  void Hold(Upstream& u) {
+    if (u.outstanding++ == 0) u.waiting_since = now_;
+    peak_held_ = std::max(peak_held_, ++held_);
+  }
+
+  void Release(Attempt& a) {
+    if (!std::exchange(a.held, false)) return;
+    --a.upstream->outstanding;
+    --held_;
+  }
+
   // A copy of a call that may be repeated tries out an ejected or suspect upstream; the client does not
   // depend on it, so a relapsing upstream costs no request. Where nothing else stands, the call itself is the
   // trial: refusing all while some could serve is the worst outcome.
@@ -609,12 +622,34 @@
     r.cls = &settings_.classes[cls];
     r.cls_index = cls;
     r.arrived = now_;
-    r.deadline = e.deadline;
+    r.deadline = e.arriving ? TimePoint::max() : e.deadline;
+    r.arriving = e.arriving;
+    r.patience = std::max(e.deadline - now_, Duration(1));
     ++arrivals_;
     retry_budget_ = std::min(kRetryBurst, retry_budget_ + kRetryBudget);
-    Wake(r, r.deadline);
+    if (!e.arriving) Wake(r, r.deadline);
     Advance(r);
-    r.late_at = now_ + Scaled(UsualTime(cls), kLate);
+    ExpectBy(r);
+  }
+
+  // It may be sent on while it comes, but nobody can be late with it before it is whole.
+  void On(const RequestWhole& e) {
+    Request* r = Find(e.request);
+    if (r == nullptr || !std::exchange(r->arriving, false)) return;
+    r->arrived = now_;
+    r->deadline = e.deadline;
+    Wake(*r, r->deadline);
+    for (Attempt& a : r->attempts) {
+      if (a.outcome || a.started) continue;
+      a.sent = now_;
+      a.held = true;
+      Hold(*a.upstream);
+    }
+    ExpectBy(*r);
+  }
+
+  void ExpectBy(Request& r) {
+    r.late_at = r.arriving ? TimePoint::max() : now_ + Scaled(UsualTime(r.cls_index), kLate);
     if (!r.ended && r.cls->effect != Effect::kUnsafe && settings_.limits.second_copies &&
         r.late_at < r.deadline)
       Wake(r, r.late_at);
@@ -630,7 +665,7 @@
   // after a proof that nothing ran. What can no longer be in time for any worth is not tried again either.
   bool WorthAnother(const Request& r) {
     if (r.attempts.empty()) return true;
-    if (r.cls->late_worth <= 0 && now_ >= r.arrived + r.cls->aim) return false;
+    if (r.cls->late_worth <= 0 && !r.arriving && now_ >= r.arrived + r.cls->aim) return false;
     const auto& last = r.attempts.back().outcome;
     if (last && ProvesNotRun(*last) && r.attempts.size() <= kFreeRepeats) return true;
     if (retry_budget_ < 1) return false;
@@ -696,8 +731,14 @@
 
   void On(const AnswerStarted& e) {
     Request* r = Find(e.request);
-    if (r == nullptr || r->ended || !AttemptOf(*r, e.attempt)) return;
-    r->streaming = true;
+    Attempt* attempt = r == nullptr || r->ended ? nullptr : AttemptOf(*r, e.attempt);
+    if (attempt == nullptr || attempt->outcome || r->streaming) return;
+    r->streaming = attempt->started = true;
+    Upstream& u = *attempt->upstream;
+    Release(*attempt);
+    u.waiting_since = now_;
+    CountLate(*r, u, Outcome::kServed, now_ - attempt->sent);
+    LearnTime(u, r->cls_index, Outcome::kServed, now_ - attempt->sent);
     for (std::size_t i = 0; i < r->attempts.size(); ++i) {
       if (i != static_cast<std::size_t>(e.attempt)) Cancel(*r, i);
     }
@@ -709,11 +750,10 @@
     if (attempt == nullptr || attempt->outcome) return;
     attempt->outcome = e.outcome;
     Upstream& u = *attempt->upstream;
-    --u.outstanding;
-    CountLate(*r, u, e.outcome, e.elapsed);
-    --held_;
+    Release(*attempt);
+    if (!attempt->started) CountLate(*r, u, e.outcome, e.elapsed);
     LearnConnecting(u, *attempt, r->cls_index, e.outcome, e.elapsed);
-    LearnTime(u, r->cls_index, e.outcome, e.elapsed);
+    if (!attempt->started) LearnTime(u, r->cls_index, e.outcome, e.elapsed);
     Judge(u, *attempt, e.outcome);
     if (e.outcome == Outcome::kServed) ++served_;
     if (e.finished) {
--- a/src/state.h
+++ b/src/state.h
@@ -95,6 +95,8 @@
   bool trial = false;
   bool connects = false;             // it found no connection to use
   Duration idle_for{};               // how long the one it found had been idle
+  bool held = false;                 // its upstream holds it: it has all of it, and has not begun to answer
+  bool started = false;              // its answer has begun
   std::optional<Outcome> outcome{};  // absent while it is out
 };
 
@@ -116,6 +118,8 @@
   std::vector<Attempt> attempts;
   std::vector<Asked> asked;  // while it waits for their reports
   bool ended = false;        // it has its final answer: nothing more is sent for it
+  bool arriving = false;     // its body still comes
+  Duration patience{};       // its time, then
   bool streaming = false;    // its answer has begun: it belongs to the client
 };
 
--- a/tests/standins/peers.cpp
+++ b/tests/standins/peers.cpp
@@ -27,6 +27,7 @@
 using std::chrono::seconds;
 
 constexpr auto kPatience = seconds(20);
+constexpr std::uint64_t kMostBody = 1 << 30;
 
 tcp::endpoint Loopback(std::uint16_t port) { return {boost::asio::ip::make_address_v4("127.0.0.1"), port}; }
 
@@ -43,6 +44,7 @@
 
 std::optional<Request> Wire::ReadRequest() {
   http::request_parser<http::string_body> parser;
+  parser.body_limit(kMostBody);
   error_code error;
   http::read(socket, buffer_, parser, error);
   if (error) return std::nullopt;
@@ -51,6 +53,7 @@
 
 std::optional<Response> Wire::ReadResponse() {
   http::response_parser<http::string_body> parser;
+  parser.body_limit(kMostBody);
   error_code error;
   http::read(socket, buffer_, parser, error);
   if (error) return std::nullopt;
