--- a/http/transport.cpp
+++ b/http/transport.cpp
@@ -348,7 +348,8 @@
 
   void OnMore(error_code error) {
     if (error && error != http::error::need_buffer) return End(Cause::kBroken);
-    answer_->Append(parser_->get().body().bytes);
+    const auto stream = answer_;  // whoever takes may end all of this
+    stream->Append(parser_->get().body().bytes);
     if (closed_) return;
     parser_->get().body().bytes.clear();
     reading_more_ = false;
@@ -403,7 +404,7 @@
 
   // Another attempt may take the request's body from here on.
   void LeaveBody() {
-    writer_.reset();
+    if (!pumping_) writer_.reset();  // else it is what called, and this connection is closed
     if (message_ && message_->coming) message_->coming.stream->Leave();
   }
 
