--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -21,6 +21,7 @@
 namespace mothrack {
 namespace {
 
+using kestrellb::MembershipUpdate;
 using kestrellb::Outcome;
 using std::chrono::milliseconds;
 
