--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -586,7 +586,8 @@
     Emit(SendAttempt{r.id, u.info.id, Timeout(r)});
   }
 
-  // What its upstream holds is what it can be late with: not a body that still comes, nor an answer that has begun.
+  // What its upstream holds is what it can be late with: not a body that still comes, nor an answer that has
+  // begun.
   void Hold(Upstream& u) {
     if (u.outstanding++ == 0) u.waiting_since = now_;
     peak_held_ = std::max(peak_held_, ++held_);
