A cold upstream's turn and budget begin at once in the sum of a large fleet

At fault, each harmless in a small fleet: Adopt() began a cold budget up to one call short of zero, so that with a tenth of a call a second each sidecar waited 10 to 20 s for its first; Enter() put an upstream behind all others in its turn, half a turn later than evenly; and a cold one without budget was left out of the rotation, so that its turn stood still and the two waits followed each other.

Now the budget begins spread over one call, a turn begins anywhere in its round, and the turn of one that waits for its budget comes nearer. The budget's rate is as it was: half of what would topple it.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -215,7 +215,7 @@
       if (u) u->info.state = UpstreamState::kGone;
       u = std::make_shared<Upstream>();
       u->rank = Hash(info.id.value, settings_.self);
-      u->cold_budget = -Uniform();  // sidecars that hear of it together must not all call it at once
+      u->cold_budget = Uniform();  // sidecars that hear of it together must not all call it at once
       u->cold_refilled = now_;
     }
     u->info = info;
@@ -315,7 +315,7 @@
 
   // An upstream that enters or returns starts somewhere in its turn: no hoard of credit, and sidecars that
   // hear of it together do not all pick it next.
-  void Enter(Upstream& u) { u.credit = -Uniform() * ListedWeight(); }
+  void Enter(Upstream& u) { u.credit = (Uniform() - 0.5) * ListedWeight(); }
 
   double ListedWeight() const {
     double sum = 0;
@@ -395,11 +395,13 @@
   }
 
   // May this upstream take a call? The one gate to every upstream. An ejected one takes trials only.
-  bool MayTake(Upstream& u, bool trial = false) {
+  bool MayTake(Upstream& u, bool trial = false) { return InTurn(u, trial) && HasColdBudget(u); }
+
+  // The same but for the budget of a cold one.
+  bool InTurn(Upstream& u, bool trial) {
     if (u.info.state != UpstreamState::kServing) return false;
     ReturnIfServed(u);
-    if (trial ? !(u.ejected || Suspect(u)) || u.on_trial || now_ < u.next_trial : u.ejected) return false;
-    return HasColdBudget(u);
+    return trial ? (u.ejected || Suspect(u)) && !u.on_trial && now_ >= u.next_trial : !u.ejected;
   }
 
   // The next upstream for this request by smooth weighted rotation over the subset: one not yet tried while
@@ -409,11 +411,16 @@
     double weight = 0;
     int outstanding = 1;
     std::vector<UpstreamPtr> takers;
+    std::vector<UpstreamPtr> waiting;  // for their budget: their turn comes nearer meanwhile
     double room = SubsetSize();
     for (const UpstreamPtr& taker : order_) {
       Upstream& u = *taker;
       if (room <= 0) break;
-      if (!MayTake(u) || now_ < u.full_until || !MaySend(r, u)) continue;
+      if (!InTurn(u, false) || now_ < u.full_until || !MaySend(r, u)) continue;
+      if (!HasColdBudget(u)) {
+        if (!Suspect(u)) waiting.push_back(taker);
+        continue;
+      }
       takers.push_back(taker);
       if (Suspect(u)) continue;
       if (!Tried(r, u)) room -= Warmth(u);  // the cold ones are no help yet
@@ -433,19 +440,23 @@
       best_standing = standing;
       best.push_back(taker);
     }
-    return best.empty() ? nullptr : Rotate(best);
+    return best.empty() ? nullptr : Rotate(best, waiting);
   }
 
-  UpstreamPtr Rotate(const std::vector<UpstreamPtr>& candidates) {
+  UpstreamPtr Rotate(const std::vector<UpstreamPtr>& candidates, const std::vector<UpstreamPtr>& waiting) {
     double sum = 0;
     UpstreamPtr best = candidates.front();
     for (const UpstreamPtr& u : candidates) sum += Weight(*u);
+    // One that was not among the candidates for long comes from a turn of another length.
+    const auto gain = [sum](Upstream& u, double weight) {
+      u.credit = std::clamp(u.credit, -sum, sum) + weight;
+    };
     for (const UpstreamPtr& u : candidates) {
-      // One that was not among the candidates for long comes from a turn of another length.
-      u->credit = std::clamp(u->credit, -sum, sum) + Weight(*u);
+      gain(*u, Weight(*u));
       if (u->credit > best->credit) best = u;
     }
     best->credit -= sum;
+    for (const UpstreamPtr& u : waiting) gain(*u, Weight(*u));
     return best;
   }
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -78,6 +78,34 @@
   EXPECT_EQ(w.Spread(200).size(), 20u);
 }
 
+// What a hundred sidecars with a trickle each may send a cold upstream is, in sum, a flow from its first second on: a
+// budget that is a fraction of a call for each must not make all of them wait until it is a whole one.
+TEST(SlowStartOfAFleet, ATrickleFromEachAddsUpToTheBudgetFromTheFirstSecondOn) {
+  constexpr int kSidecars = 100, kUpstreams = 20, kSeconds = 4;
+  const auto calls = [](World& w, Duration time) {
+    int cold = 0;
+    for (const TimePoint end = w.now + time; w.now < end;) {
+      w.Advance(50ms);
+      cold += w.Serve(kUnsafe) == "z";  // some 16 a second
+    }
+    return cold;
+  };
+  int sent = 0;
+  for (const auto& w : Fleet(kSidecars)) {
+    w->List(kUpstreams);
+    calls(*w, 10s);
+    UpstreamInfo cold = Up("z");
+    cold.started = w->now;
+    w->Change(cold);
+    sent += calls(*w, Duration(1s) * kSeconds);
+  }
+  // Warm it would take a 21st of all; cold it can take a tenth to a quarter of that, and is owed no more. Where each
+  // waits for a whole call of its budget first, or its turn stands still meanwhile, it is sent a third of this.
+  const double share = kSidecars * 16.5 * kSeconds / (kUpstreams + 1);
+  EXPECT_GT(sent, 0.045 * share);
+  EXPECT_LT(sent, 0.45 * share);
+}
+
 TEST(UnequalMachines, AnUpstreamNeverMetIsTakenForItsKind) {
   World w;
   std::vector<UpstreamInfo> list;
