Counts for the fleet; discovery from the held version; overload shed by shares

At fault: Discovery::Failed() forgot the version held, and a start asked for the whole list though its configuration holds one with its version.

Fast machines held 10 to 17 calls on three cores while slow ones held 3: Weight() squared what was learnt of speed.

--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -61,6 +61,7 @@
 
   // For people who look.
   std::vector<kestrellb::UpstreamView> upstreams() const { return balancer_.upstreams(Now()); }
+  kestrellb::Counts counts() const { return balancer_.counts(); }
   const Tally& tally() const { return tally_; }
   const Roster& roster() const { return roster_; }
   // Requests taken whose Final is still owed.
--- a/core/log.h
+++ b/core/log.h
@@ -14,6 +14,9 @@
  public:
   explicit Logger(std::string name) : name_(std::move(name)) {}
 
+  // One of a few long lines that come by the clock and are asked for.
+  void Figures(const std::string& text) { std::cerr << name_ << ": " << text << std::endl; }
+
   // Guards against a trouble that repeats filling the disk: past kBurst lines only kPerSecond go out, and the
   // next one tells how many did not.
   void Line(const std::string& text) {
--- a/http/discovery.cpp
+++ b/http/discovery.cpp
@@ -191,6 +191,8 @@
 void Discovery::Start() {
   ++turn_;
   asked_ = Now();
+  ++counts_.calls;
+  counts_.whole_asked += !revision_;
   if (call_ && !call_->reusable()) std::exchange(call_, nullptr)->Drop();
   if (!call_) call_ = std::make_shared<Call>(*this);
   const Duration patience = on_request_ ? kServicePatience : kAgentPatience;
@@ -207,6 +209,13 @@
   } catch (const std::exception& e) {
     return Failed(std::string("malformed list: ") + e.what());
   }
+  // Older than what is held: another one counts there. What changed in between is not known.
+  if (revision_ && list.revision < *revision_ && list.update.kind == MembershipUpdate::Kind::kChanges) {
+    revision_.reset();
+    return Failed("version " + std::to_string(list.revision) + " after a later one");
+  }
+  ++(list.update.kind == MembershipUpdate::Kind::kFull ? counts_.whole : counts_.changes);
+  counts_.lines += list.update.upstreams.size();
   if (failures_ > 0) log_.Line("discovery answers again");
   failures_ = 0;
   revision_ = list.revision;
@@ -214,11 +223,13 @@
   on_list_(std::move(list));
 }
 
-// The old list stands. What changed in between may be missed by a watch (an agent that started anew counts
-// from elsewhere): the next call asks for the whole list.
+// The old list stands, and its version: what changed since is asked for again, which costs a service that all ask
+// the least. An agent is this machine's own, and may have started anew and count from elsewhere: the whole list,
+// which it gives at no cost.
 void Discovery::Failed(const std::string& why) {
   if (call_) std::exchange(call_, nullptr)->Drop();
-  revision_.reset();
+  ++counts_.failed;
+  if (!on_request_) revision_.reset();
   if (failures_++ == 0) log_.Line("discovery: " + why);
   if (on_request_) {
     running_ = false;
--- a/http/discovery.h
+++ b/http/discovery.h
@@ -32,11 +32,19 @@
             Logger& log, OnList on_list, OnFailed on_failed);
   ~Discovery();
 
+  // The list of this version is held already: what is asked for is what changed since. Before the first Ask().
+  void Hold(std::uint64_t revision) { revision_ = revision; }
   // Asks for the list now and watches it from then on. Nothing to do where that is under way.
   void Ask();
   // Changes over to another address at once: asks there for the whole list. The old list stands until then.
   void MoveTo(Endpoint endpoint);
 
+  struct Counts {
+    std::uint64_t calls = 0, whole_asked = 0, failed = 0;  // whole_asked: among the calls
+    std::uint64_t whole = 0, changes = 0, lines = 0;       // answers, and what was in them
+  };
+  const Counts& counts() const { return counts_; }
+
  private:
   class Call;
 
@@ -59,6 +67,7 @@
   std::optional<std::uint64_t> revision_;  // absent: the whole list is needed
   TimePoint asked_;
   int failures_ = 0;
+  Counts counts_;
 };
 
 }  // namespace mothrack
--- a/http/transport.cpp
+++ b/http/transport.cpp
@@ -133,6 +133,7 @@
     interim_ = 0;
     if (connected_) return Begin();
     ArmTimer(std::min(gives_up_, sent_ + owner_.connect_timeout_));
+    ++owner_.counts_.opened;
     const auto pool = pool_.lock();
     socket_.async_connect(pool->location.endpoint, [self = shared_from_this()](error_code error) {
       if (self->closed_) return;
@@ -161,6 +162,7 @@
   void Close() {
     if (closed_) return;
     closed_ = true;
+    ++(connected_ ? owner_.counts_.closed : owner_.counts_.failed);
     error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
@@ -540,6 +542,7 @@
 }
 
 void HttpTransport::Probe(ExchangeId id, const std::string& uid, OnEnd on_end) {
+  ++counts_.probes;
   HttpRequest request(http::verb::get, probe_target_, 11);
   request.set(http::field::host, uid);
   Send(id, uid, std::make_shared<HttpMessage>(std::move(request)), connect_timeout_,
@@ -574,6 +577,7 @@
     }
   }
   if (longest == nullptr) return false;
+  ++counts_.evicted;
   longest->idle.front()->Close();
   longest->idle.erase(longest->idle.begin());
   return true;
--- a/http/transport.h
+++ b/http/transport.h
@@ -35,6 +35,12 @@
   void Cancel(ExchangeId id) override;
   void CloseIdle(const std::string& uid) override;
 
+  struct Counts {
+    std::uint64_t opened = 0, failed = 0, closed = 0, evicted = 0;  // connections; failed: never came up
+    std::uint64_t probes = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
  private:
   class Connection;
   struct Pool {
@@ -56,6 +62,7 @@
   const Duration connect_timeout_;
   const Duration trusted_idle_;
   const std::string probe_target_;
+  Counts counts_;
   Descriptors& descriptors_;
   ByteBudget& budget_;
   std::map<std::string, std::shared_ptr<Pool>> pools_;
--- a/include/kestrellb/balancer.h
+++ b/include/kestrellb/balancer.h
@@ -21,6 +21,7 @@
 // time.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -272,6 +273,22 @@
   double warmth = 1;  // the share of its capacity that it is taken to have by now; below 1 it is cold
   std::optional<TimePoint> ejected_until{};  // absent where it is not ejected
   int ejected_after = 0;                     // failures in a row, of the last ejection
+  std::uint64_t sent = 0;                    // attempts, since this process of it was first heard of
+  int idle = 0;                              // connections that are taken to wait for a call
+};
+
+// What was done so far, and why; and what the balancer goes by now. For people who look, likewise.
+struct Counts {
+  // Attempts by their reason, and their ends by Outcome.
+  std::uint64_t first = 0, retries = 0, copies = 0, trials = 0;
+  std::array<std::uint64_t, 8> ended{};
+  std::uint64_t connects = 0;  // attempts that found no connection to use
+  std::uint64_t cold = 0;      // attempts sent to cold upstreams
+  // Refusals and failures by their reason: overload, nobody to send to, given up after attempts.
+  std::uint64_t overload = 0, nobody = 0, given_up = 0;
+  std::uint64_t ejected = 0, returned = 0;
+  double held = 0, shed = 0;  // calls held; the share of the work asked for that is refused as overload
+  double rate = 0, subset = 0;  // requests a second, as usual; upstreams it spreads them over
 };
 
 class Balancer {
@@ -287,6 +304,7 @@
 
   // All upstreams that are not gone, by id.
   std::vector<UpstreamView> upstreams(TimePoint now) const;
+  Counts counts() const;
 
  private:
   class Impl;
--- /dev/null
+++ b/node/count_lines.h
@@ -0,0 +1,35 @@
+// A line of counts in the log, once in a while: what this sidecar did since the last one, and what it goes by. Off
+// unless asked for (`--counts`); tools/fleet_counts.py adds up those of a fleet.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <string>
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "sidecar.h"
+
+namespace mothrack {
+
+class CountLines {
+ public:
+  // `sidecar` and `log` must outlive it.
+  CountLines(boost::asio::io_context& io, Duration every, const Sidecar& sidecar, Logger& log);
+
+ private:
+  void Schedule();
+  void Write();
+
+  const Duration every_;
+  const Sidecar& sidecar_;
+  Logger& log_;
+  boost::asio::steady_timer timer_;
+  kestrellb::Counts decided_;
+  HttpTransport::Counts connections_;
+  Discovery::Counts discovery_;
+  std::map<std::string, std::uint64_t> sent_;  // by upstream
+};
+
+}  // namespace mothrack
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -28,9 +28,12 @@
       "Without a command it runs in the foreground: what the LB_* variables tell, what the operator's file\n"
       "names, or both. SIGTERM begins a planned stop, SIGHUP reads the configuration again."};
   app.set_version_flag("--version", "mothrack " MOTHRACK_VERSION);
-  std::optional<std::string> config;
-  app.add_option("--config", config, "the operator's file (TOML), as deploy/mothrack.toml")
+  mothrack::Options options;
+  app.add_option("--config", options.path, "the operator's file (TOML), as deploy/mothrack.toml")
       ->type_name("FILE");
+  app.add_option("--counts", options.counts_s, "log a line of counts every so many seconds (0.1 to 3600)")
+      ->type_name("SECONDS")
+      ->check(CLI::Range(0.1, 3600.0));
   CLI::App* check =
       app.add_subcommand("check", "validate an operator's file and print the settings that count");
   std::string file;
@@ -41,5 +44,5 @@
     return app.exit(e);
   }
   if (check->parsed()) return Check(file);
-  return mothrack::Run(config, [](const char* name) { return std::getenv(name); });
+  return mothrack::Run(options, [](const char* name) { return std::getenv(name); });
 }
--- a/node/program.cpp
+++ b/node/program.cpp
@@ -17,6 +17,7 @@
 #include "admin/ops.h"
 #include "admin/report.h"
 #include "config.h"
+#include "count_lines.h"
 #include "core/descriptors.h"
 #include "core/log.h"
 #include "dns/service.h"
@@ -81,7 +82,7 @@
  public:
   using ReadAgain = std::function<Told()>;
 
-  Program(boost::asio::io_context& io, ReadAgain read)
+  Program(boost::asio::io_context& io, ReadAgain read, const Options& options)
       : io_(io),
         read_(std::move(read)),
         told_(read_()),
@@ -97,6 +98,10 @@
         throw ConfigError("LB_LISTEN " + Text(told_.platform->listen) + ": " + e.what());
       }
       std::cerr << told_.name() << ": listening on " << sidecar_->local() << std::endl;
+      if (options.counts_s) {
+        const auto every = std::chrono::duration<double>(*options.counts_s);
+        counts_ = std::make_unique<CountLines>(io, std::chrono::duration_cast<Duration>(every), *sidecar_, log_);
+      }
     }
     if (told_.platform && told_.platform->ops) {
       ops_ = std::make_unique<admin::Ops>(
@@ -228,6 +233,7 @@
   Descriptors descriptors_;
   Succession succession_;
   std::unique_ptr<Sidecar> sidecar_;
+  std::unique_ptr<CountLines> counts_;
   std::unique_ptr<dns::Service> dns_;
   int draining_ = 0;
   // What the door tells.
@@ -242,12 +248,12 @@
 
 }  // namespace
 
-int Run(const std::optional<std::string>& path, const std::function<const char*(const char*)>& variable) {
+int Run(const Options& options, const std::function<const char*(const char*)>& variable) {
   std::signal(SIGPIPE, SIG_IGN);
   try {
     boost::asio::io_context io(1);
     boost::asio::signal_set reload(io, SIGHUP);
-    Program program(io, [&] { return Read(path, variable); });
+    Program program(io, [&] { return Read(options.path, variable); }, options);
     const std::function<void()> reload_on_signal = [&] {
       reload.async_wait([&](const boost::system::error_code& error, int) {
         if (error) return;
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -59,7 +59,11 @@
   for (const std::string& id : inheritance.ids) dispatcher_.KnowKey(id);
   front_.Rest(inheritance.resting);
   ShareMemory(inheritance.share_memory);
-  dispatcher_.Apply(Known(config.known, unix_clock_));
+  MembershipList known = Known(config.known, unix_clock_);
+  // A service that all sidecars ask is asked for what changed since then: after a mass restart whole lists for all
+  // are the most it could be asked for.
+  if (config.settings.membership_on_request && !config.known.is_null()) discovery_.Hold(known.revision);
+  dispatcher_.Apply(std::move(known));
   // Where membership is told on request, the module asks.
   if (!config.settings.membership_on_request) discovery_.Ask();
   list_awaited_.expires_after(inheritance.wait_for_list ? kListPatience : Duration::zero());
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -51,7 +51,10 @@
   void ObserveIds(std::function<void(const std::string&)> on_id) { dispatcher_.ObserveKeys(std::move(on_id)); }
 
   Endpoint local() const { return front_.local(); }
-  const Dispatcher& dispatcher() const { return dispatcher_; }  // for people who look
+  // For people who look.
+  const Dispatcher& dispatcher() const { return dispatcher_; }
+  const HttpTransport& transport() const { return transport_; }
+  const Discovery& discovery() const { return discovery_; }
   bool Ban(const std::string& uid) { return dispatcher_.Ban(uid); }
   void RestoreBans(const std::set<std::string>& bans) { dispatcher_.RestoreBans(bans); }
   bool Unban(const std::string& uid) { return dispatcher_.Unban(uid); }
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -99,28 +99,30 @@
 // calls.
 constexpr int kSuccessPower = 3;
 // Overload shows as answers after their aim, time-outs and refusals as full from upstreams in good standing.
-// Above kTooManyLate of at least kLateSample outcomes (a quarter of them, where all of these are late) the
-// calls held at once are limited, to the less of what is held the more are late; below it the limit grows
-// again, by kLimitGrowth each such look, and goes when it no longer binds.
+// A share of the calls is refused that rises with each late one and falls with each in time, so that it stands
+// where kTooManyLate of them are late. It goes over its whole range in about kShedTime, or in kShedSample outcomes
+// where these take longer. By shares, not by calls held: a sidecar with a trickle holds three by chance, and a
+// hundred of them would refuse what the fleet has room for.
 // Late is what took this share of its aim: a jam must be met before it costs its worth.
 constexpr double kLateFrom = 0.75;
 constexpr double kTooManyLate = 0.15;
+constexpr Duration kShedTime = milliseconds(1000);
+constexpr double kShedSample = 30;
+constexpr double kShedEase = 5;
+constexpr double kMostShed = 0.9;  // the rest shows when it is over
+// Shedding from here on, further attempts and copies are left out too.
+constexpr double kShedding = 0.1;
 // An upstream under load answers the rest slowly too: a time-out tells of load only where its answers take
 // this share of their aims in the mean. Guards against refusing for one that swallows some calls and has
 // room.
 constexpr double kLoadedShare = 0.35;
-constexpr double kLateSample = 20;
-constexpr double kLimitCut = 0.6;
-constexpr double kLimitGrowth = 0.05;
-constexpr double kLeastLimit = 0.5;  // of a call, taken by chance: in sum it still sheds
-// Near the limit the classes with less worth for their time are refused first, from this share of it on, but
-// each class keeps at least kClassFloor of its calls as long as the limit itself has room.
-constexpr double kSheddingFrom = 0.7;
+// The classes with the least worth for their time are refused first, but each class keeps at least kClassFloor
+// of its calls while others have more than that.
 constexpr double kClassFloor = 0.4;
 // A spell of refusing is over when none was refused for this long.
 constexpr Duration kSpell = seconds(2);
 // Clients that are told to come back do so spread over one to two times this, or the settings' longest wait.
-constexpr Duration kRetryAfter = milliseconds(500);
+constexpr Duration kRetryAfter = milliseconds(1500);
 
 }  // namespace
 
@@ -133,7 +135,7 @@
       asks_ = static_cast<std::size_t>(
           std::clamp(kAskSpend / std::max(settings_.prices.probe, 1e-9), 1.0, kMostAsked));
     usual_time_.resize(settings_.classes.size());
-    admitted_.assign(settings_.classes.size(), 1);
+    asked_for_.resize(settings_.classes.size());
   }
 
   void Handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
@@ -148,13 +150,23 @@
     std::vector<UpstreamView> views;
     views.reserve(order_.size());
     for (const UpstreamPtr& u : order_) {
-      views.push_back({u->info.id, u->info.state, u->outstanding, Warmth(*u, now), {}, u->ejected_after});
+      views.push_back({u->info.id, u->info.state, u->outstanding, Warmth(*u, now), {}, u->ejected_after, u->sent,
+                       u->idle});
       if (u->ejected) views.back().ejected_until = u->ejected_until;
     }
     std::sort(views.begin(), views.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
     return views;
   }
 
+  Counts Counted() const {
+    Counts counts = counts_;
+    counts.held = held_;
+    counts.shed = shed_;
+    counts.rate = usual_rate_;
+    counts.subset = std::min(SubsetSize(), static_cast<double>(order_.size()));
+    return counts;
+  }
+
  private:
   // ---- Membership ----
 
@@ -215,12 +227,14 @@
       if (u) u->info.state = UpstreamState::kGone;
       u = std::make_shared<Upstream>();
       u->rank = Hash(info.id.value, settings_.self);
-      u->cold_budget = Uniform();  // sidecars that hear of it together must not all call it at once
       u->cold_refilled = now_;
     }
     u->info = info;
     u->listed = true;
     if (!(u->info.weight > 0)) u->info.weight = 1;
+    // Sidecars that hear of it together must not all call it at once; but where each may send it a fraction of a call
+    // a second, together they are owed a flow from the first second on.
+    if (new_process) u->cold_budget = Uniform() - std::min(1.0, ColdRate(*u));
     if (new_process || !was_serving) entering.push_back(u);
   }
 
@@ -289,6 +303,7 @@
     u.ejected = true;
     u.ejected_at = now_;
     u.ejected_after = run;
+    ++counts_.ejected;
     u.ejected_until = now_ + u.ejection_time;
     u.failure_run = 0;
     u.trial_gap = kFirstTrial;
@@ -307,6 +322,7 @@
   void Return(Upstream& u, const char* why) {
     u.ejected = false;
     u.ejected_until = now_;
+    ++counts_.returned;
     Enter(u);
     Say("returned " + u.info.id.value + " " + why);
   }
@@ -331,7 +347,7 @@
     // Time-outs beside fast answers attract no calls: the rest of what it takes it serves.
     const double swallowed = Loaded(u) ? 0 : u.timeouts / calls;
     const double failing = FailureShare(u) - swallowed;
-    return u.info.weight * Warmth(u) / (Slowness(u) * Slowness(u)) *
+    return u.info.weight * Warmth(u) / Slowness(u) *
            std::max(0.02, std::pow(1 - failing, kSuccessPower) * (1 - swallowed));
   }
 
@@ -356,7 +372,9 @@
   void LearnTime(Upstream& u, std::size_t cls, Outcome outcome, Duration elapsed) {
     const auto time = static_cast<double>(elapsed.count());
     if (ProvesNotRun(outcome) || outcome == Outcome::kError || outcome == Outcome::kReset) return;
-    const double ratio = std::min(time / static_cast<double>(UsualTime(cls).count()), 2 * kMaxSlowness);
+    // What coldness explains is no slowness of its own: it passes.
+    const double warm = time * Warmth(u);
+    const double ratio = std::min(warm / static_cast<double>(UsualTime(cls).count()), 2 * kMaxSlowness);
     // Unanswered so far says that it takes at least as long, but where others are answered fast.
     if (outcome != Outcome::kServed && (ratio < Slowness(u) || !Loaded(u))) return;
     u.slowness.Add(ratio, kSlownessMemory);
@@ -371,7 +389,7 @@
   // five in a row, while others stand. One answer clears it.
   bool Suspect(const Upstream& u) const {
     if (u.failure_run >= LongRun(u, kFailuresToSuspect)) return true;
-    return u.outstanding > 0 && now_ - u.waiting_since > Scaled(UsualTime(), kSilence * Slowness(u));
+    return u.outstanding > 0 && now_ - u.waiting_since > Scaled(UsualTime(), kSilence * Slowness(u) / Warmth(u));
   }
 
   bool HasConnection(const Upstream& u) const {
@@ -509,7 +527,7 @@
     const TimePoint aim = r.arrived + r.cls->aim;
     // Under overload also what may not be repeated: kept past its aim it is worth nothing and holds up the
     // rest.
-    const bool give_up = r.cls->effect != Effect::kUnsafe || (r.cls->late_worth <= 0 && limit_ < kNoLimit);
+    const bool give_up = r.cls->effect != Effect::kUnsafe || (r.cls->late_worth <= 0 && shed_ > kShedding);
     if (give_up && now_ < aim) return std::min(left, Duration(aim - now_));
     return left;
   }
@@ -525,7 +543,7 @@
     }
     if (r.asked.size() == 1) {
       r.asked.clear();
-      SendTo(r, pick, false);
+      SendTo(r, pick, Reason::kCall);
       return true;
     }
     for (const Asked& a : r.asked) Emit(SendProbe{a.upstream->info.id});
@@ -556,7 +574,7 @@
     }
     if (jammed && !best) SayRefusing("overload, upstreams hold more than they can serve in time");
     if (!jammed && !best) best = Pick(r);
-    if (best) return SendTo(r, best, false);
+    if (best) return SendTo(r, best, Reason::kCall);
     if (!AnyOut(r)) Finish(r);
   }
 
@@ -580,9 +598,17 @@
     }
   }
 
-  void SendTo(Request& r, const UpstreamPtr& upstream, bool trial) {
+  enum class Reason { kCall, kCopy, kTrial };
+
+  void SendTo(Request& r, const UpstreamPtr& upstream, Reason reason) {
     Upstream& u = *upstream;
-    if (Warmth(u) < 1) u.cold_budget -= 1;
+    const bool trial = reason == Reason::kTrial;
+    ++(trial                    ? counts_.trials
+       : reason == Reason::kCopy ? counts_.copies
+       : r.attempts.empty()      ? counts_.first
+                                 : counts_.retries);
+    ++u.sent;
+    if (Warmth(u) < 1) u.cold_budget -= 1, ++counts_.cold;
     if (!r.arriving) Hold(u);
     if (trial) u.on_trial = true;
     const Duration idle_for = now_ - u.idle_since;
@@ -591,6 +617,7 @@
       u.idle = 0;
     }
     const bool connects = !HasConnection(u);
+    counts_.connects += connects;
     if (u.idle > 0) --u.idle;
     r.attempts.push_back({upstream, now_, trial, connects, idle_for});
     r.attempts.back().held = !r.arriving;
@@ -601,7 +628,7 @@
   // begun.
   void Hold(Upstream& u) {
     if (u.outstanding++ == 0) u.waiting_since = now_;
-    peak_held_ = std::max(peak_held_, ++held_);
+    ++held_;
   }
 
   void Release(Attempt& a) {
@@ -618,7 +645,7 @@
     for (const UpstreamPtr& u : order_) {
       if (r.cls->effect == Effect::kUnsafe || Tried(r, *u)) continue;
       if (!MayTake(*u, true) || !MaySend(r, *u)) continue;
-      SendTo(r, u, true);
+      SendTo(r, u, Reason::kTrial);
       return true;
     }
     return false;
@@ -691,6 +718,7 @@
     const bool first = r.attempts.empty();
     if (first && !Admit(r)) {
       SayRefusing("overload, answers come late");
+      ++counts_.overload;
       return Finish(r);
     }
     if (WorthAnother(r) && Send(r)) {
@@ -699,6 +727,7 @@
     }
     if (first && Try(r)) return;
     if (first) SayRefusing("no upstream can take a call");
+    ++(first ? counts_.nobody : counts_.given_up);
     Finish(r);
   }
 
@@ -707,7 +736,7 @@
   void SecondCopy(Request& r) {
     if (r.ended || r.streaming || !AnyOut(r)) return;
     if (now_ < r.late_at) return;
-    const bool crowded = held_ > 1 && held_ > limit_ * kSheddingFrom;
+    const bool crowded = shed_ > kShedding;
     const UpstreamPtr pick = crowded || retry_budget_ < 1 ? nullptr : Pick(r, true);
     if (!pick) {
       // Nobody who holds it says a word: later, when it has waited as long again.
@@ -716,7 +745,7 @@
       return;
     }
     retry_budget_ -= 1;
-    SendTo(r, pick, false);
+    SendTo(r, pick, Reason::kCopy);
   }
 
   // Has its upstream answered nothing at all since it was sent?
@@ -761,6 +790,7 @@
     Attempt* attempt = r == nullptr ? nullptr : AttemptOf(*r, e.attempt);
     if (attempt == nullptr || attempt->outcome) return;
     attempt->outcome = e.outcome;
+    ++counts_.ended[static_cast<std::size_t>(e.outcome)];
     Upstream& u = *attempt->upstream;
     Release(*attempt);
     if (!attempt->started) CountLate(*r, u, e.outcome, e.elapsed);
@@ -791,17 +821,29 @@
   // ---- Admission and the final answer ----
 
   // Guards against an overload, whatever its cause: what cannot be answered in time is refused while that is
-  // harmless and cheap, so that the rest is in time. Below the limit everything is taken.
+  // harmless and cheap, so that the rest is in time. What is refused is a share of the work that is asked for,
+  // taken first from the classes with the least worth for their time.
   bool Admit(const Request& r) {
-    double& share = admitted_[r.cls_index];
-    double best = 0;
-    for (std::size_t c = 0; c < settings_.classes.size(); ++c) best = std::max(best, WorthForTime(c));
-    const double rank = best > 0 ? WorthForTime(r.cls_index) / best : 1;
-    const double mine = share < kClassFloor ? 1 : kSheddingFrom + (1 - kSheddingFrom) * rank;
-    // The limit is a fraction for a trickle: in sum a thousand that take every second call are a limit too.
-    const bool admit = held_ + Uniform() < limit_ * mine;
-    share += ((admit ? 1 : 0) - share) / kUsualMemory;
-    return admit;
+    asked_for_[r.cls_index] += static_cast<double>(UsualTime(r.cls_index).count());
+    if (shed_ <= 0) return true;
+    double all = 0, before = 0, kept_before = 0, kept = 0;
+    const double mine = WorthForTime(r.cls_index);
+    for (std::size_t c = 0; c < settings_.classes.size(); ++c) {
+      all += asked_for_[c];
+      kept += asked_for_[c] * kClassFloor;
+      if (c == r.cls_index || WorthForTime(c) > mine) continue;
+      before += asked_for_[c];
+    }
+    kept_before = before * (1 - kClassFloor);
+    const double own = asked_for_[r.cls_index];
+    const double cut = shed_ * all;
+    double share = 1;
+    if (cut > all - kept) {
+      share = kClassFloor * (all - cut) / kept;  // each is at its floor: all alike from here on
+    } else {
+      share = 1 - std::clamp((cut - kept_before) / own, 0.0, 1 - kClassFloor);
+    }
+    return Uniform() < share;
   }
 
   double WorthForTime(std::size_t cls) const {
@@ -812,16 +854,22 @@
   bool Telling(const Upstream& u) const { return !u.ejected && Warmth(u) >= 1 && !Suspect(u); }
 
   void CountLate(const Request& r, const Upstream& u, Outcome outcome, Duration elapsed) {
-    if (!Telling(u) && 2 * telling_weight_ > serving_weight_) return;
+    if (!Telling(u) && 4 * telling_weight_ > serving_weight_) return;
     if (outcome != Outcome::kServed && outcome != Outcome::kTimeout && outcome != Outcome::kFull) return;
     if (outcome == Outcome::kTimeout && !Loaded(u)) return;
-    ++timely_or_not_;
-    late_ += outcome != Outcome::kServed || elapsed > Scaled(r.cls->aim, kLateFrom);
-  }
-
-  // What the upstreams that can take calls hold ordinarily is not what makes them late: cutting below it
-  // would refuse for nothing when the whole fleet is slow.
-  void UpdateLimit() {
+    const bool late = outcome != Outcome::kServed || elapsed > Scaled(r.cls->aim, kLateFrom);
+    const double step = 1 / std::max(kShedSample, usual_rate_ * Seconds(kShedTime));
+    // Holding no more than usual is not what makes them late: refusing more would be for nothing, as when the whole
+    // fleet is slow.
+    if (late && mean_held_ < usual_held_ * able_weight_) return;
+    lately_late_ += ((late ? 1 : 0) - lately_late_) / kSlownessMemory;
+    // It goes faster than it came once hardly any are late.
+    const double ease = 1 + kShedEase * std::max(0.0, 1 - lately_late_ / kTooManyLate);
+    shed_ += late ? step : -step * ease * kTooManyLate / (1 - kTooManyLate);
+    shed_ = std::clamp(shed_, 0.0, kMostShed);
+  }
+
+  void UpdateLoad() {
     telling_weight_ = serving_weight_ = able_weight_ = 0;
     for (const UpstreamPtr& u : order_) {
       if (u->info.state != UpstreamState::kServing) continue;
@@ -829,20 +877,11 @@
       if (Telling(*u)) telling_weight_ += u->info.weight;
       if (!u->ejected) able_weight_ += u->info.weight * Warmth(*u);
     }
-    const bool in_time = late_ <= kTooManyLate / 2 * timely_or_not_;
-    if (in_time && able_weight_ > 0) usual_held_ += (held_ / able_weight_ - usual_held_) / kSlownessMemory;
-    if (timely_or_not_ < kLateSample && late_ < kLateSample / 4) return;
-    const double late = late_ / timely_or_not_;
-    late_ = timely_or_not_ = 0;
-    if (late > kTooManyLate) {
-      const double floor = std::max(kLeastLimit, usual_held_ * able_weight_);
-      limit_ = std::max(floor, std::min(limit_, peak_held_) * (1 - kLimitCut * late));
-    } else if (late <= kTooManyLate && peak_held_ > limit_ * kSheddingFrom) {
-      limit_ += std::max(1.0, limit_ * kLimitGrowth);
-    } else if (late <= kTooManyLate && peak_held_ < limit_ / 2) {
-      limit_ = kNoLimit;
-    }
-    peak_held_ = held_;
+    mean_held_ += (held_ - mean_held_) * Seconds(kHousekeeping) / Seconds(kShedTime);
+    if (shed_ <= 0 && able_weight_ > 0) usual_held_ += (held_ / able_weight_ - usual_held_) / kUsualMemory;
+    // Where next to nothing is sent any more, little is heard of how that fares.
+    shed_ = std::max(0.0, shed_ - kTooManyLate * Seconds(kHousekeeping) / kShedSample);
+    for (double& work : asked_for_) work *= 1 - Seconds(kHousekeeping) / Seconds(kBaseEjection);
   }
 
   void SayRefusing(const std::string& why) {
@@ -895,15 +934,20 @@
   bool HasColdBudget(Upstream& u) {
     const double warmth = Warmth(u);
     if (warmth >= 1) return true;
-    const double usual =
-        std::max(usual_served_, usual_rate_ / 2) * u.info.weight / std::max(usual_weight_, u.info.weight);
-    const double rate = settings_.rules.fall_multiple * kColdSafety * warmth * usual;
+    const double rate = ColdRate(u);
     const double most = std::max(1.0, rate * Seconds(settings_.rules.fall_window) / 2);
     u.cold_budget = std::min(most, u.cold_budget + rate * Seconds(now_ - u.cold_refilled));
     u.cold_refilled = now_;
     return u.cold_budget >= 1;
   }
 
+  // Calls a second that this sidecar may send it.
+  double ColdRate(const Upstream& u) const {
+    const double usual =
+        std::max(usual_served_, usual_rate_ / 2) * u.info.weight / std::max(usual_weight_, u.info.weight);
+    return settings_.rules.fall_multiple * kColdSafety * Warmth(u) * usual;
+  }
+
   // The usual rate and weight change slowly: a burst or the loss of half the list must not raise the budgets.
   void UpdateUsual() {
     const double dt = Seconds(kHousekeeping);
@@ -933,7 +977,7 @@
   void Housekeeping() {
     Emit(SetTimer{now_ + kHousekeeping, kHousekeepingToken});
     UpdateUsual();
-    UpdateLimit();
+    UpdateLoad();
     trusted_idle_ = std::min(Scaled(trusted_idle_, kTrustGrowth), settings_.limits.idle_close);
     if (refusing_ && now_ - refused_at_ > kSpell) {
       refusing_ = false;
@@ -970,6 +1014,7 @@
   }
   void Say(std::string text) { Emit(Log{std::move(text)}); }
 
+  Counts counts_;
   const Settings settings_;
   std::mt19937_64 random_;
   TimePoint now_;
@@ -984,21 +1029,19 @@
   std::optional<TimePoint> ask_again_at_;
   bool refusing_ = false;
   TimePoint refused_at_;
-  static constexpr double kNoLimit = 1e9;
-  double limit_ = kNoLimit;    // calls held at once
+  double shed_ = 0;            // share of the work asked for that is refused
+  double lately_late_ = 0;     // of the latest outcomes
+  std::vector<double> asked_for_;  // each class's, in microseconds of its usual time, slowly fading
   double held_ = 0;            // attempts out
+  double mean_held_ = 0;       // over about kShedTime
   double usual_held_ = 0;      // calls for each unit of weight, while answers are in time
   double serving_weight_ = 0;  // of all that serve by the list
   double able_weight_ = 0;     // of those that can take calls
   double telling_weight_ = 0;  // of those whose lateness tells of load
-  double peak_held_ = 0;       // since the limit was last looked at
   double all_calls_ = 0;       // sums over the upstreams in service
   double all_failures_ = 0;
-  double late_ = 0;  // of timely_or_not_ outcomes, likewise
-  double timely_or_not_ = 0;
   std::size_t asks_ = 1;           // upstreams asked for their load before a call; 1: none
   std::vector<RequestId> asking_;  // requests that wait for reports
-  std::vector<double> admitted_;   // each class's share of late
   std::uint64_t arrivals_ = 0;     // since the last housekeeping
   std::uint64_t served_ = 0;       // likewise
   double usual_rate_ = 0;         // requests taken a second, slowly changing; clients' repeats are among them
@@ -1022,6 +1065,8 @@
   impl_->Handle(now, event, actions);
 }
 
+Counts Balancer::counts() const { return impl_->Counted(); }
+
 std::vector<UpstreamView> Balancer::upstreams(TimePoint now) const { return impl_->Upstreams(now); }
 
 }  // namespace kestrellb
--- a/src/state.h
+++ b/src/state.h
@@ -82,6 +82,7 @@
   // Rotation.
   double credit = 0;
   int outstanding = 0;
+  std::uint64_t sent = 0;  // for people who look
   // Slow start: calls it may still be sent, refilled over time.
   double cold_budget = 0;
   TimePoint cold_refilled;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -389,7 +389,7 @@
   EXPECT_LE(w.sent.size(), 500u + 150u + 10u + 50u) << "first tries, three tenths, the burst, and trials";
 }
 
-TEST(Overload, LateAnswersLimitTheCallsHeldAndTheLimitGoesAgain) {
+TEST(Overload, LateAnswersShedAShareOfTheCallsAndItGoesAgain) {
   World w;
   w.List(4);
   std::deque<Sent> out;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -782,6 +782,33 @@
   EXPECT_EQ(agent.requests().front().target(), "/discovery/hosts");
 }
 
+// A service that all sidecars ask: one that has started anew holds a list, and a call that failed leaves it standing.
+TEST(Membership, OneServiceForAllIsAskedForWhatChangedAlsoAfterAFailure) {
+  Upstream a(Upstream::Echo("a"));
+  Upstream b(Upstream::Echo("b"));
+  const std::string changes =
+      json{{"rev", 5}, {"all", false}, {"targets", List({Target("u1", a.address(), "left"), Target("u2", b.address())})}}
+          .dump();
+  Upstream service([&](Wire& wire, const Request&, int number) {
+    if (number == 0) return static_cast<void>(wire.Answer(503, "overbooked"));
+    if (number == 1) return static_cast<void>(wire.Answer(200, R"({"rev":9,"all":true,"targets":[{"uid":7}]})"));
+    if (number == 2) return static_cast<void>(wire.Answer(200, changes));
+    wire.Answer(200, R"({"rev":5,"all":false,"targets":[]})");
+  });
+  json settings = Settings();
+  settings["MembershipMode"] = "on_request";
+  settings["Rules"]["MustAskIn"] = 1000000;
+  Node::Options options = With(List({Target("u1", a.address())}), settings);
+  options.discovery = service.address();
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  EXPECT_TRUE(BecomesServedBy(node, "b /page/k"));
+  ASSERT_TRUE(Eventually([&] { return service.requests().size() >= 4; }));
+  const auto asked = service.requests();
+  for (int i = 0; i < 3; ++i) EXPECT_NE(std::string(asked[i].target()).find("?index=0&"), std::string::npos) << i;
+  EXPECT_NE(std::string(asked[3].target()).find("?index=5&"), std::string::npos);
+}
+
 // ---- Configuration read again ----
 
 std::string FollowingTo(const Node& node, const std::string& discovery) {
