Registered sizes count once; a smaller burst of retries; lower classes shed first

Now calls go by size and by how an upstream differs from its kind; where no sizes are listed, by what is learnt as before.

--- a/include/kestrellb/balancer.h
+++ b/include/kestrellb/balancer.h
@@ -274,6 +274,7 @@
   std::optional<TimePoint> ejected_until{};  // absent where it is not ejected
   int ejected_after = 0;                     // failures in a row, of the last ejection
   std::uint64_t sent = 0;                    // attempts, since this process of it was first heard of
+  std::uint64_t unanswered = 0;              // of these: timed out, not connected or broken
   int idle = 0;                              // connections that are taken to wait for a call
 };
 
--- a/node/count_lines.cpp
+++ b/node/count_lines.cpp
@@ -86,22 +86,23 @@
   attempts.Put("lines", discovery.lines, discovery_.lines);
   discovery_ = discovery;
 
-  // By upstream: attempts since, calls held, connections that wait, warmth; and whether it is avoided.
-  std::map<std::string, std::uint64_t> sent;
+  // By upstream: attempts since, those that ended without an answer, calls held, connections that wait, warmth; and whether it is avoided.
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> sent;
   json upstreams = json::object();
   int avoided = 0, cold = 0, listed = 0;
   for (const kestrellb::UpstreamView& view : sidecar_.dispatcher().upstreams()) {
     listed += view.state == kestrellb::UpstreamState::kServing;
     avoided += view.ejected_until.has_value();
     cold += view.warmth < 1;
-    sent[view.id.value] = view.sent;
+    sent[view.id.value] = {view.sent, view.unanswered};
     const auto before = sent_.find(view.id.value);
     // A new process of it counts from nothing.
-    const bool same = before != sent_.end() && before->second <= view.sent;
-    const std::uint64_t since = view.sent - (same ? before->second : 0);
+    const bool same = before != sent_.end() && before->second.first <= view.sent;
+    const std::uint64_t since = view.sent - (same ? before->second.first : 0);
+    const std::uint64_t unanswered = view.unanswered - (same ? before->second.second : 0);
     if (since == 0 && view.in_flight == 0 && view.idle == 0) continue;
     if (upstreams.size() >= kMostNamed) continue;
-    upstreams[view.id.value] = {since, view.in_flight, view.idle, Rounded(view.warmth)};
+    upstreams[view.id.value] = {since, unanswered, view.in_flight, view.idle, Rounded(view.warmth)};
   }
   sent_ = std::move(sent);
   line["listed"] = listed;
--- a/node/count_lines.h
+++ b/node/count_lines.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "core/clock.h"
 #include "core/log.h"
@@ -29,7 +30,7 @@
   kestrellb::Counts decided_;
   HttpTransport::Counts connections_;
   Discovery::Counts discovery_;
-  std::map<std::string, std::uint64_t> sent_;  // by upstream
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> sent_;  // by upstream; of these unanswered
 };
 
 }  // namespace mothrack
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -85,7 +85,7 @@
 // Further attempts after a failure and second copies are at most this share of first tries, saved up to a
 // burst.
 constexpr double kRetryBudget = 0.3;
-constexpr double kRetryBurst = 10;
+constexpr double kRetryBurst = 3;
 // So many attempts after a proof that nothing ran are free of it: each may be a connection for a full fleet.
 constexpr std::size_t kFreeRepeats = 2;
 // Where upstreams tell their load when probed, the next ones in turn are asked before a call, as many as this
@@ -99,15 +99,15 @@
 // calls.
 constexpr int kSuccessPower = 3;
 // Overload shows as answers after their aim, time-outs and refusals as full from upstreams in good standing.
-// A share of the calls is refused that rises with each late one and falls with each in time, so that it stands
-// where kTooManyLate of them are late. It goes over its whole range in about kShedTime, or in kShedSample outcomes
-// where these take longer. By shares, not by calls held: a sidecar with a trickle holds three by chance, and a
-// hundred of them would refuse what the fleet has room for.
-// Late is what took this share of its aim: a jam must be met before it costs its worth.
-constexpr double kLateFrom = 0.75;
-constexpr double kTooManyLate = 0.15;
+// A share of the calls is refused that rises with each late one and falls with each in time, so that it
+// stands where kTooManyLate of them are late. It goes over its whole range in about kShedTime, or in
+// kShedSample outcomes where these take longer. By shares, not by calls held: a sidecar with a trickle holds
+// three by chance, and a hundred of them would refuse what the fleet has room for. Late is what took this
+// share of its aim: a jam must be met before it costs its worth.
+constexpr double kLateFrom = 0.8;
+constexpr double kTooManyLate = 0.2;
 constexpr Duration kShedTime = milliseconds(1000);
-constexpr double kShedSample = 30;
+constexpr double kShedSample = 40;
 constexpr double kShedEase = 5;
 constexpr double kMostShed = 0.9;  // the rest shows when it is over
 // Shedding from here on, further attempts and copies are left out too.
@@ -116,9 +116,9 @@
 // this share of their aims in the mean. Guards against refusing for one that swallows some calls and has
 // room.
 constexpr double kLoadedShare = 0.35;
-// The classes with the least worth for their time are refused first, but each class keeps at least kClassFloor
-// of its calls while others have more than that.
-constexpr double kClassFloor = 0.4;
+// The classes with the least worth for their time are refused first, but each class keeps at least
+// kClassFloor of its calls while others have more than that.
+constexpr double kClassFloor = 0.2;
 // A spell of refusing is over when none was refused for this long.
 constexpr Duration kSpell = seconds(2);
 // Clients that are told to come back do so spread over one to two times this, or the settings' longest wait.
@@ -150,7 +150,14 @@
     std::vector<UpstreamView> views;
     views.reserve(order_.size());
     for (const UpstreamPtr& u : order_) {
-      views.push_back({u->info.id, u->info.state, u->outstanding, Warmth(*u, now), {}, u->ejected_after, u->sent,
+      views.push_back({u->info.id,
+                       u->info.state,
+                       u->outstanding,
+                       Warmth(*u, now),
+                       {},
+                       u->ejected_after,
+                       u->sent,
+                       u->unanswered,
                        u->idle});
       if (u->ejected) views.back().ejected_until = u->ejected_until;
     }
@@ -205,6 +212,7 @@
     });
     order_.clear();
     for (const auto& [id, u] : index_) order_.push_back(u);
+    sized_ = std::any_of(order_.begin(), order_.end(), [](const auto& u) { return u->info.weight != 1; });
     std::sort(order_.begin(), order_.end(), [](const UpstreamPtr& a, const UpstreamPtr& b) {
       return std::tie(a->rank, a->info.id) < std::tie(b->rank, b->info.id);
     });
@@ -232,8 +240,8 @@
     u->info = info;
     u->listed = true;
     if (!(u->info.weight > 0)) u->info.weight = 1;
-    // Sidecars that hear of it together must not all call it at once; but where each may send it a fraction of a call
-    // a second, together they are owed a flow from the first second on.
+    // Sidecars that hear of it together must not all call it at once; but where each may send it a fraction
+    // of a call a second, together they are owed a flow from the first second on.
     if (new_process) u->cold_budget = Uniform() - std::min(1.0, ColdRate(*u));
     if (new_process || !was_serving) entering.push_back(u);
   }
@@ -241,6 +249,7 @@
   // ---- Ejection ----
 
   void Judge(Upstream& u, const Attempt& attempt, Outcome outcome) {
+    if (IsFailure(outcome) && outcome != Outcome::kError) ++u.unanswered;
     if (u.info.state == UpstreamState::kGone) return;  // nothing more is decided about it
     const bool served = outcome == Outcome::kServed;
     if (attempt.trial) JudgeTrial(u, outcome);
@@ -347,7 +356,7 @@
     // Time-outs beside fast answers attract no calls: the rest of what it takes it serves.
     const double swallowed = Loaded(u) ? 0 : u.timeouts / calls;
     const double failing = FailureShare(u) - swallowed;
-    return u.info.weight * Warmth(u) / Slowness(u) *
+    return u.info.weight * Warmth(u) / (sized_ ? Slowness(u) / KindSlowness(u) : Slowness(u)) *
            std::max(0.02, std::pow(1 - failing, kSuccessPower) * (1 - swallowed));
   }
 
@@ -361,11 +370,13 @@
 
   // How long an upstream's answers take against what is usual. A trickle meets one upstream too seldom to
   // know: until it has answered often, it is taken for what its kind of machine is like.
-  double Slowness(const Upstream& u) const {
+  double KindSlowness(const Upstream& u) const {
     const auto kind = kind_slowness_.find(u.info.kind);
-    const Mean like = kind == kind_slowness_.end() ? Mean{} : kind->second;
-    const double known =
-        kKindPrior * (like.samples > 0 ? like.value : 1) + u.slowness.samples * u.slowness.value;
+    const bool known = kind != kind_slowness_.end() && kind->second.samples > 0;
+    return known ? std::clamp(kind->second.value, 1 / kMaxSlowness, kMaxSlowness) : 1;
+  }
+  double Slowness(const Upstream& u) const {
+    const double known = kKindPrior * KindSlowness(u) + u.slowness.samples * u.slowness.value;
     return std::clamp(known / (kKindPrior + u.slowness.samples), 1 / kMaxSlowness, kMaxSlowness);
   }
 
@@ -389,7 +400,8 @@
   // five in a row, while others stand. One answer clears it.
   bool Suspect(const Upstream& u) const {
     if (u.failure_run >= LongRun(u, kFailuresToSuspect)) return true;
-    return u.outstanding > 0 && now_ - u.waiting_since > Scaled(UsualTime(), kSilence * Slowness(u) / Warmth(u));
+    return u.outstanding > 0 &&
+           now_ - u.waiting_since > Scaled(UsualTime(), kSilence * Slowness(u) / Warmth(u));
   }
 
   bool HasConnection(const Upstream& u) const {
@@ -603,7 +615,7 @@
   void SendTo(Request& r, const UpstreamPtr& upstream, Reason reason) {
     Upstream& u = *upstream;
     const bool trial = reason == Reason::kTrial;
-    ++(trial                    ? counts_.trials
+    ++(trial                     ? counts_.trials
        : reason == Reason::kCopy ? counts_.copies
        : r.attempts.empty()      ? counts_.first
                                  : counts_.retries);
@@ -821,8 +833,8 @@
   // ---- Admission and the final answer ----
 
   // Guards against an overload, whatever its cause: what cannot be answered in time is refused while that is
-  // harmless and cheap, so that the rest is in time. What is refused is a share of the work that is asked for,
-  // taken first from the classes with the least worth for their time.
+  // harmless and cheap, so that the rest is in time. What is refused is a share of the work that is asked
+  // for, taken first from the classes with the least worth for their time.
   bool Admit(const Request& r) {
     asked_for_[r.cls_index] += static_cast<double>(UsualTime(r.cls_index).count());
     if (shed_ <= 0) return true;
@@ -859,8 +871,8 @@
     if (outcome == Outcome::kTimeout && !Loaded(u)) return;
     const bool late = outcome != Outcome::kServed || elapsed > Scaled(r.cls->aim, kLateFrom);
     const double step = 1 / std::max(kShedSample, usual_rate_ * Seconds(kShedTime));
-    // Holding no more than usual is not what makes them late: refusing more would be for nothing, as when the whole
-    // fleet is slow.
+    // Holding no more than usual is not what makes them late: refusing more would be for nothing, as when the
+    // whole fleet is slow.
     if (late && mean_held_ < usual_held_ * able_weight_) return;
     lately_late_ += ((late ? 1 : 0) - lately_late_) / kSlownessMemory;
     // It goes faster than it came once hardly any are late.
@@ -1027,18 +1039,19 @@
   std::unordered_map<std::uint64_t, RequestId> timers_;  // looked up, never walked
   std::uint64_t last_token_ = kHousekeepingToken;
   std::optional<TimePoint> ask_again_at_;
+  bool sized_ = false;  // the list tells sizes: what a kind can do is in them, and not to be counted twice
   bool refusing_ = false;
   TimePoint refused_at_;
-  double shed_ = 0;            // share of the work asked for that is refused
-  double lately_late_ = 0;     // of the latest outcomes
+  double shed_ = 0;                // share of the work asked for that is refused
+  double lately_late_ = 0;         // of the latest outcomes
   std::vector<double> asked_for_;  // each class's, in microseconds of its usual time, slowly fading
-  double held_ = 0;            // attempts out
-  double mean_held_ = 0;       // over about kShedTime
-  double usual_held_ = 0;      // calls for each unit of weight, while answers are in time
-  double serving_weight_ = 0;  // of all that serve by the list
-  double able_weight_ = 0;     // of those that can take calls
-  double telling_weight_ = 0;  // of those whose lateness tells of load
-  double all_calls_ = 0;       // sums over the upstreams in service
+  double held_ = 0;                // attempts out
+  double mean_held_ = 0;           // over about kShedTime
+  double usual_held_ = 0;          // calls for each unit of weight, while answers are in time
+  double serving_weight_ = 0;      // of all that serve by the list
+  double able_weight_ = 0;         // of those that can take calls
+  double telling_weight_ = 0;      // of those whose lateness tells of load
+  double all_calls_ = 0;           // sums over the upstreams in service
   double all_failures_ = 0;
   std::size_t asks_ = 1;           // upstreams asked for their load before a call; 1: none
   std::vector<RequestId> asking_;  // requests that wait for reports
--- a/src/state.h
+++ b/src/state.h
@@ -82,7 +82,8 @@
   // Rotation.
   double credit = 0;
   int outstanding = 0;
-  std::uint64_t sent = 0;  // for people who look
+  std::uint64_t sent = 0;  // for people who look, like the next
+  std::uint64_t unanswered = 0;
   // Slow start: calls it may still be sent, refilled over time.
   double cold_budget = 0;
   TimePoint cold_refilled;
--- a/tools/fleet_counts.py
+++ b/tools/fleet_counts.py
@@ -57,9 +57,10 @@
                 row["shed"] += counts["shed"]
             row["subset"] += counts.get("subset", 0)
             row["rate"] += counts.get("rate", 0)
-            for uid, (sent, held, idle, warmth) in counts.get("to", {}).items():
+            for uid, (sent, unanswered, held, idle, warmth) in counts.get("to", {}).items():
                 one = upstreams[at][uid]
                 one["sent"] += sent
+                one["unanswered"] += unanswered
                 one["held"] += held
                 one["connections"] += held + idle
                 one["warmth"] = warmth
@@ -78,9 +79,9 @@
         print(f"{at * options.by:3g} " + " ".join(f"{cell:>9}" for cell in cells))
     if options.upstreams:
         for at in sorted(upstreams):
-            print(f"second {at * options.by:g}: upstream, sent, held, connections, sidecars, warmth")
+            print(f"second {at * options.by:g}: upstream, sent, unanswered, held, connections, sidecars, warmth")
             for uid, one in sorted(upstreams[at].items(), key=lambda item: -item[1]["sent"]):
-                print(f"  {uid} {one['sent']:>6} {one['held']:>4} {one['connections']:>5} {one['by']:>4} {one['warmth']}")
+                print(f"  {uid} {one['sent']:>6} {one['unanswered']:>4} {one['held']:>4} {one['connections']:>5} {one['by']:>4} {one['warmth']}")
 
 
 if __name__ == "__main__":
