Cold upstreams get calls by how fast cold ones answer, and at once after a loss

At fault: (1) Pick(): a lost zone leaves every sidecar with only failures to connect in its memory, connecting_ is learnt from nothing else then and is not forgotten, and whoever has no connection, as each new process, is passed over. (2) Weight() went by the least warmth that the settings allow; now by that times how much faster cold upstreams answer than it says, up to warm. The budget still goes by the least, and is three quarters of what would topple one (it was half).

Each test fails without its change (the one of connecting without both of its halves).

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -41,8 +41,8 @@
 constexpr Duration kHousekeeping = milliseconds(250);
 constexpr std::uint64_t kHousekeepingToken = 0;
 // A cold upstream gets at most this share of what would topple it, going by the load that its peers bear:
-// they may bear 1.3 times what they can, chance bunches calls, and weights tell sizes only roughly.
-constexpr double kColdSafety = 0.5;
+// they may bear 1.3 times what they can. Chance bunches calls, but what is gone by is the least it can do.
+constexpr double kColdSafety = 0.75;
 // Load is not sickness: five in a row are rare where one call in ten fails. Where more of the calls to the
 // other upstreams fail, the run must be long enough to be as rare as that.
 constexpr double kOrdinaryFailureShare = 0.1;
@@ -65,6 +65,7 @@
 constexpr double kTrustGrowth = 1.02;
 // From here on connecting is hard: in sum half of the calls that connect take twice their time or fail.
 constexpr double kHardToConnect = 0.5;
+constexpr Duration kConnectingMemory = seconds(2);
 // An upstream that holds more unanswered calls than its share and this many is passed over while others
 // stand.
 constexpr double kCrowdSlack = 0.5;
@@ -356,7 +357,7 @@
     // Time-outs beside fast answers attract no calls: the rest of what it takes it serves.
     const double swallowed = Loaded(u) ? 0 : u.timeouts / calls;
     const double failing = FailureShare(u) - swallowed;
-    return u.info.weight * Warmth(u) / (sized_ ? Slowness(u) / KindSlowness(u) : Slowness(u)) *
+    return u.info.weight * LikelyWarmth(u) / (sized_ ? Slowness(u) / KindSlowness(u) : Slowness(u)) *
            std::max(0.02, std::pow(1 - failing, kSuccessPower) * (1 - swallowed));
   }
 
@@ -388,6 +389,7 @@
     const double ratio = std::min(warm / static_cast<double>(UsualTime(cls).count()), 2 * kMaxSlowness);
     // Unanswered so far says that it takes at least as long, but where others are answered fast.
     if (outcome != Outcome::kServed && (ratio < Slowness(u) || !Loaded(u))) return;
+    if (Warmth(u) < 1) cold_times_.Add(std::max(ratio / Slowness(u), 1 / kMaxSlowness), kOutcomeMemory);
     u.slowness.Add(ratio, kSlownessMemory);
     kind_slowness_[u.info.kind].Add(ratio, kUsualMemory);
     if (outcome != Outcome::kServed) return;
@@ -461,9 +463,10 @@
     int best_standing = only_good ? 1 : 6;
     for (const UpstreamPtr& taker : takers) {
       const Upstream& u = *taker;
-      // Where connecting takes long or fails, one without a connection is no better than a crowded one.
+      // Where connecting takes long or fails, one without a connection is no better than a crowded one; but one
+      // that has just started has its table of connections empty.
       const bool crowded = u.outstanding + 1 > kCrowdSlack + 0.5 + outstanding * Weight(u) / weight ||
-                           (connecting_.value > kHardToConnect && !HasConnection(u));
+                           (Warmth(u) >= 1 && connecting_.value > kHardToConnect && !HasConnection(u));
       const int standing = (Tried(r, u) ? 3 : 0) + (Suspect(u) ? 2 : crowded ? 1 : 0);
       if (standing < best_standing) best.clear();
       if (standing > best_standing) continue;
@@ -887,10 +890,13 @@
       if (u->info.state != UpstreamState::kServing) continue;
       serving_weight_ += u->info.weight;
       if (Telling(*u)) telling_weight_ += u->info.weight;
-      if (!u->ejected) able_weight_ += u->info.weight * Warmth(*u);
+      if (!u->ejected && !Suspect(*u)) able_weight_ += u->info.weight * Warmth(*u);
     }
+    // Failures to connect to machines that are gone say nothing of the next ones: it is found out anew.
+    connecting_.value *= 1 - Seconds(kHousekeeping) / Seconds(kConnectingMemory);
     mean_held_ += (held_ - mean_held_) * Seconds(kHousekeeping) / Seconds(kShedTime);
-    if (shed_ <= 0 && able_weight_ > 0) usual_held_ += (held_ / able_weight_ - usual_held_) / kUsualMemory;
+    const bool in_time = shed_ <= 0 && lately_late_ <= kTooManyLate / 2;
+    if (in_time && able_weight_ > 0) usual_held_ += (held_ / able_weight_ - usual_held_) / kUsualMemory;
     // Where next to nothing is sent any more, little is heard of how that fares.
     shed_ = std::max(0.0, shed_ - kTooManyLate * Seconds(kHousekeeping) / kShedSample);
     for (double& work : asked_for_) work *= 1 - Seconds(kHousekeeping) / Seconds(kBaseEjection);
@@ -943,6 +949,13 @@
 
   // A cold upstream's calls are counted against what this sidecar usually sends a warm one of its weight. The
   // rotation already gives it less; the budget holds when others fail and push their calls onto it.
+  // What it is likely to have: as much more than the least as the cold ones answer faster than by that.
+  double LikelyWarmth(const Upstream& u) const {
+    const double warmth = Warmth(u);
+    if (warmth >= 1 || cold_times_.samples < kKindPrior) return warmth;
+    return std::clamp(warmth / cold_times_.value, warmth, 1.0);
+  }
+
   bool HasColdBudget(Upstream& u) {
     const double warmth = Warmth(u);
     if (warmth >= 1) return true;
@@ -1064,6 +1077,7 @@
   Mean connecting_;        // how hard it is, 0 to 1
   Duration trusted_idle_;  // connections idle for longer are closed before a call
   std::map<std::string, Mean> kind_slowness_;
+  Mean cold_times_;  // of cold upstreams' answers, against what their least warmth would make of a warm one's
   double retry_budget_ = kRetryBurst;
   double usual_weight_ = 0;  // the list's weight, slow to fall
 };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -106,6 +106,88 @@
   EXPECT_LT(sent, 0.45 * share);
 }
 
+// The list tells the least that a cold upstream can; its answers tell what it can.
+TEST(SlowStartOfAFleet, ColdUpstreamsThatAnswerLikeWarmOnesGetMoreThanTheirLeast) {
+  const auto cold_calls = [](Duration cold_time) {
+    World w;
+    w.List(6);
+    for (int i = 0; i < 400; ++i) {
+      w.Advance(15ms);
+      w.Serve(kUnsafe);
+    }
+    for (const char* id : {"x", "y", "z"}) {
+      UpstreamInfo cold = Up(id);
+      cold.started = w.now - 2s;
+      w.Change(cold);
+    }
+    int cold = 0;
+    for (int i = 0; i < 300; ++i) {
+      w.Advance(15ms);
+      const std::size_t before = w.sent.size();
+      w.Arrive(kUnsafe);
+      if (w.sent.size() == before) continue;
+      const bool to_cold = w.sent[before].upstream >= "x";
+      cold += to_cold;
+      w.now += to_cold ? cold_time : Duration(10ms);
+      w.Finish(w.sent[before], Outcome::kServed);
+    }
+    return cold;
+  };
+  const int slow = cold_calls(40ms), fast = cold_calls(10ms);
+  EXPECT_GT(slow, 20);
+  EXPECT_GT(fast, 1.25 * slow);
+}
+
+// Machines that are gone fill a sidecar's memory with failures to connect; those that replace them have no connection.
+TEST(SlowStartOfAFleet, FailuresToConnectElsewhereKeepNobodyFromNewUpstreams) {
+  World w;
+  w.List(8);
+  const auto serve = [&w](int calls) {
+    int to_new = 0;
+    for (int i = 0; i < calls; ++i) {
+      const std::size_t before = w.sent.size();
+      w.Arrive(kUnsafe);
+      for (std::size_t k = before; k < w.sent.size(); ++k) {
+        const std::string id = w.sent[k].upstream;
+        to_new += id >= "x";
+        w.now += 5ms;
+        const bool gone = id >= "e" && id < "x";
+        w.Finish(w.sent[k], gone ? Outcome::kConnectFailed : Outcome::kServed);
+      }
+      w.Advance(20ms);
+    }
+    return to_new;
+  };
+  serve(100);
+  for (const char* id : {"x", "y", "z"}) {
+    UpstreamInfo fresh = Up(id);
+    fresh.started = w.now - 4s;
+    w.Change(fresh);
+  }
+  EXPECT_GT(serve(200), 12);
+}
+
+TEST(UnequalMachines, RegisteredSizesAreNotCountedTwice) {
+  World w;
+  std::vector<UpstreamInfo> list;
+  for (const char id : {'a', 'b', 'c', 'd'}) {
+    list.push_back(Up(std::string(1, id)));
+    list.back().kind = id < 'c' ? "slow" : "fast";
+    list.back().weight = id < 'c' ? 1 : 2;
+  }
+  w.Full(list);
+  std::map<std::string, int> calls;
+  for (int i = 0; i < 600; ++i) {
+    const std::size_t before = w.sent.size();
+    w.Arrive(kUnsafe);
+    const bool slow = w.sent[before].upstream < "c";
+    if (i >= 200) ++calls[slow ? "slow" : "fast"];
+    w.now += slow ? 40ms : 20ms;
+    w.Finish(w.sent[before], Outcome::kServed);
+  }
+  EXPECT_NEAR(calls["fast"], 2 * calls["slow"], 60) << "as their sizes say, though one answers twice as fast";
+}
+
 TEST(UnequalMachines, AnUpstreamNeverMetIsTakenForItsKind) {
   World w;
   std::vector<UpstreamInfo> list;
