A silent zone is passed over, and a great loss is met by refusing at once

So the share refused starts at once where a fifth or more of what can serve is lost: the rest is taken to bear 1.1 times what it bore, and the answers tell whether that was too much. Both are in the module; five failures in a row still eject, and nothing else does.

Each test fails without its change.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -17,6 +17,7 @@
 #include <cmath>
 #include <map>
 #include <random>
+#include <set>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -79,8 +80,12 @@
 // Silent: it holds calls and has answered nothing for this many usual times. Works are about exponential, so
 // a healthy upstream with one call is that slow once in twenty.
 constexpr double kSilence = 3;
-// So many failures in a row make a suspect, that is passed over while others stand.
+// So many failures in a row make a suspect, that is passed over while others stand: a sidecar of many meets
+// one upstream every few seconds, and a second failure there would cost as much as the trial that tells.
 constexpr int kFailuresToSuspect = 2;
+// A zone of which so many upstreams said nothing, and none anything since, is taken to be lost: a sidecar of
+// many would meet each of them once to know it of each. One trial at a time tells when it is back.
+constexpr std::size_t kSilentToLoseZone = 3;
 // A call that takes this many usual times of its class gets a second copy, where it may have one.
 constexpr double kLate = 3;
 // Further attempts after a failure and second copies are at most this share of first tries, saved up to a
@@ -110,6 +115,11 @@
 constexpr Duration kShedTime = milliseconds(1000);
 constexpr double kShedSample = 40;
 constexpr double kShedEase = 5;
+// Where this share of what can serve goes within some seconds, the rest is taken to bear this many times what
+// it bore; the share refused starts from there, and the answers tell whether that is too much.
+constexpr double kGreatLoss = 0.2;
+constexpr double kHeadroom = 1.1;
+constexpr Duration kLossMemory = seconds(20);
 constexpr double kMostShed = 0.9;  // the rest shows when it is over
 // Shedding from here on, further attempts and copies are left out too.
 constexpr double kShedding = 0.1;
@@ -213,6 +223,10 @@
     });
     order_.clear();
     for (const auto& [id, u] : index_) order_.push_back(u);
+    std::erase_if(zones_, [this](const auto& zone) {
+      return std::none_of(order_.begin(), order_.end(),
+                          [&](const auto& u) { return u->info.zone == zone.first; });
+    });
     sized_ = std::any_of(order_.begin(), order_.end(), [](const auto& u) { return u->info.weight != 1; });
     std::sort(order_.begin(), order_.end(), [](const UpstreamPtr& a, const UpstreamPtr& b) {
       return std::tie(a->rank, a->info.id) < std::tie(b->rank, b->info.id);
@@ -243,6 +257,7 @@
     if (!(u->info.weight > 0)) u->info.weight = 1;
     // Sidecars that hear of it together must not all call it at once; but where each may send it a fraction
     // of a call a second, together they are owed a flow from the first second on.
+    if (new_process && info.started) zones_[info.zone].silent.clear();
     if (new_process) u->cold_budget = Uniform() - std::min(1.0, ColdRate(*u));
     if (new_process || !was_serving) entering.push_back(u);
   }
@@ -401,11 +416,33 @@
   // Guards against hangs, silent machines and cut links, which show by nothing but time: passed over before
   // five in a row, while others stand. One answer clears it.
   bool Suspect(const Upstream& u) const {
-    if (u.failure_run >= LongRun(u, kFailuresToSuspect)) return true;
+    if (u.failure_run >= LongRun(u, kFailuresToSuspect) || Lost(u.info.zone)) return true;
     return u.outstanding > 0 &&
            now_ - u.waiting_since > Scaled(UsualTime(), kSilence * Slowness(u) / Warmth(u));
   }
 
+  bool Lost(const std::string& zone) const {
+    const auto it = zones_.find(zone);
+    return it != zones_.end() && it->second.silent.size() >= kSilentToLoseZone;
+  }
+
+  // An answer says that its zone is there; none to a call sent after the last one may say that it is not.
+  void JudgeZone(const Attempt& a, Outcome outcome) {
+    Zone& zone = zones_[a.upstream->info.zone];
+    if (outcome == Outcome::kServed || outcome == Outcome::kError || outcome == Outcome::kFull) {
+      zone.silent.clear();
+      zone.answered = now_;
+    } else if (outcome == Outcome::kTimeout || outcome == Outcome::kConnectFailed) {
+      FoundSilent(a);
+    }
+  }
+
+  void FoundSilent(const Attempt& a) {
+    Zone& zone = zones_[a.upstream->info.zone];
+    if (a.sent >= zone.answered && zone.silent.size() < kSilentToLoseZone)
+      zone.silent.insert(a.upstream->info.id.value);
+  }
+
   bool HasConnection(const Upstream& u) const {
     if (settings_.limits.streams > 1 && u.outstanding > 0) return true;
     return u.idle > 0 && now_ - u.idle_since < settings_.limits.idle_close;
@@ -433,7 +470,9 @@
   bool InTurn(Upstream& u, bool trial) {
     if (u.info.state != UpstreamState::kServing) return false;
     ReturnIfServed(u);
-    return trial ? (u.ejected || Suspect(u)) && !u.on_trial && now_ >= u.next_trial : !u.ejected;
+    if (!trial) return !u.ejected;
+    if (Lost(u.info.zone) && now_ < zones_[u.info.zone].next_trial) return false;
+    return (u.ejected || Suspect(u)) && !u.on_trial && now_ >= u.next_trial;
   }
 
   // The next upstream for this request by smooth weighted rotation over the subset: one not yet tried while
@@ -463,8 +502,8 @@
     int best_standing = only_good ? 1 : 6;
     for (const UpstreamPtr& taker : takers) {
       const Upstream& u = *taker;
-      // Where connecting takes long or fails, one without a connection is no better than a crowded one; but one
-      // that has just started has its table of connections empty.
+      // Where connecting takes long or fails, one without a connection is no better than a crowded one; but
+      // one that has just started has its table of connections empty.
       const bool crowded = u.outstanding + 1 > kCrowdSlack + 0.5 + outstanding * Weight(u) / weight ||
                            (Warmth(u) >= 1 && connecting_.value > kHardToConnect && !HasConnection(u));
       const int standing = (Tried(r, u) ? 3 : 0) + (Suspect(u) ? 2 : crowded ? 1 : 0);
@@ -626,6 +665,7 @@
     if (Warmth(u) < 1) u.cold_budget -= 1, ++counts_.cold;
     if (!r.arriving) Hold(u);
     if (trial) u.on_trial = true;
+    if (trial) zones_[u.info.zone].next_trial = now_ + Scaled(kFirstTrial, 0.5 + Uniform());
     const Duration idle_for = now_ - u.idle_since;
     if (u.idle > 0 && idle_for > trusted_idle_) {
       Emit(CloseIdle{u.info.id});
@@ -751,6 +791,9 @@
   void SecondCopy(Request& r) {
     if (r.ended || r.streaming || !AnyOut(r)) return;
     if (now_ < r.late_at) return;
+    for (const Attempt& a : r.attempts) {
+      if (Silent(a)) FoundSilent(a);
+    }
     const bool crowded = shed_ > kShedding;
     const UpstreamPtr pick = crowded || retry_budget_ < 1 ? nullptr : Pick(r, true);
     if (!pick) {
@@ -811,6 +854,7 @@
     if (!attempt->started) CountLate(*r, u, e.outcome, e.elapsed);
     LearnConnecting(u, *attempt, r->cls_index, e.outcome, e.elapsed);
     if (!attempt->started) LearnTime(u, r->cls_index, e.outcome, e.elapsed);
+    JudgeZone(*attempt, e.outcome);
     Judge(u, *attempt, e.outcome);
     if (e.outcome == Outcome::kServed) ++served_;
     if (r->streaming && !attempt->started) {
@@ -890,10 +934,16 @@
       if (u->info.state != UpstreamState::kServing) continue;
       serving_weight_ += u->info.weight;
       if (Telling(*u)) telling_weight_ += u->info.weight;
-      if (!u->ejected && !Suspect(*u)) able_weight_ += u->info.weight * Warmth(*u);
+      if (!u->ejected && !Suspect(*u)) able_weight_ += u->info.weight * LikelyWarmth(*u);
     }
     // Failures to connect to machines that are gone say nothing of the next ones: it is found out anew.
     connecting_.value *= 1 - Seconds(kHousekeeping) / Seconds(kConnectingMemory);
+    // What is lost at once is known before the answers of the rest come late: by then their queues are full.
+    able_before_ = std::max(able_weight_, able_before_ * (1 - Seconds(kHousekeeping) / Seconds(kLossMemory)));
+    if (able_weight_ < able_before_ * (1 - kGreatLoss)) {
+      shed_ = std::max(shed_, std::min(kMostShed, 1 - kHeadroom * able_weight_ / able_before_));
+      able_before_ = able_weight_;
+    }
     mean_held_ += (held_ - mean_held_) * Seconds(kHousekeeping) / Seconds(kShedTime);
     const bool in_time = shed_ <= 0 && lately_late_ <= kTooManyLate / 2;
     if (in_time && able_weight_ > 0) usual_held_ += (held_ / able_weight_ - usual_held_) / kUsualMemory;
@@ -1056,6 +1106,7 @@
   bool refusing_ = false;
   TimePoint refused_at_;
   double shed_ = 0;                // share of the work asked for that is refused
+  double able_before_ = 0;         // the most that could take calls, slow to fall
   double lately_late_ = 0;         // of the latest outcomes
   std::vector<double> asked_for_;  // each class's, in microseconds of its usual time, slowly fading
   double held_ = 0;                // attempts out
@@ -1078,6 +1129,13 @@
   Duration trusted_idle_;  // connections idle for longer are closed before a call
   std::map<std::string, Mean> kind_slowness_;
   Mean cold_times_;  // of cold upstreams' answers, against what their least warmth would make of a warm one's
+  struct Zone {
+    std::set<std::string>
+        silent;  // upstreams that did not answer a call sent since the last answer from here
+    TimePoint answered;
+    TimePoint next_trial;
+  };
+  std::map<std::string, Zone> zones_;
   double retry_budget_ = kRetryBurst;
   double usual_weight_ = 0;  // the list's weight, slow to fall
 };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -167,6 +167,70 @@
   EXPECT_GT(serve(200), 12);
 }
 
+// Two halls of six; `calls` calls 20 ms apart, those to a silent hall time out. How many went to "there", and how many
+// were refused.
+struct Halls {
+  Halls() {
+    std::vector<UpstreamInfo> list;
+    for (char id = 'a'; id < 'm'; ++id) {
+      list.push_back(Up(std::string(1, id)));
+      list.back().zone = id < 'g' ? "here" : "there";
+    }
+    w.Full(list);
+  }
+  std::pair<int, int> Call(int calls, bool silent, ClassId cls = kUnsafe) {
+    int there = 0;
+    const std::size_t refused = w.refused.size();
+    for (int i = 0; i < calls; ++i) {
+      const std::size_t before = w.sent.size();
+      w.Arrive(cls);
+      w.now += 10ms;
+      for (std::size_t k = before; k < w.sent.size(); ++k) {
+        const bool far = w.sent[k].upstream >= "g";
+        there += far;
+        w.Finish(w.sent[k], far && silent ? Outcome::kTimeout : Outcome::kServed);
+      }
+      w.Advance(10ms);
+    }
+    return {there, static_cast<int>(w.refused.size() - refused)};
+  }
+  World w;
+};
+
+TEST(LostZone, IsPassedOverOnceThreeOfItSayNothingAndBackWithItsFirstAnswer) {
+  Halls halls;
+  EXPECT_GT(halls.Call(200, false).first, 80);
+  EXPECT_LE(halls.Call(100, true).first, 4) << "not each of the six, twice";
+  EXPECT_EQ(halls.Call(100, true).first, 0);
+  // Calls that may be repeated try it out, one in half a second at least.
+  const int trials = halls.Call(150, true, kSafe).first;
+  EXPECT_GE(trials, 1);
+  EXPECT_LE(trials, 8);
+  halls.Call(150, false, kSafe);
+  EXPECT_GT(halls.Call(200, false).first, 60);
+}
+
+TEST(LostZone, OneSilentUpstreamLosesNoZone) {
+  Halls halls;
+  halls.Call(200, false);
+  for (int i = 0; i < 100; ++i) {
+    const std::size_t before = halls.w.sent.size();
+    halls.w.Arrive(kUnsafe);
+    halls.w.now += 10ms;
+    halls.w.Answer(before, "g", Outcome::kTimeout);
+    halls.w.Advance(10ms);
+  }
+  EXPECT_GT(halls.Call(100, false).first, 25);
+}
+
+TEST(LostZone, TheRestIsSparedBeforeItsAnswersAreLateAndServesAllOnceItCan) {
+  Halls halls;
+  EXPECT_EQ(halls.Call(400, false).second, 0);
+  EXPECT_GE(halls.Call(60, true).second, 1) << "half of it is gone, and nothing is late yet";
+  halls.Call(400, true);
+  EXPECT_LE(halls.Call(100, true).second, 2);
+}
+
 TEST(UnequalMachines, RegisteredSizesAreNotCountedTwice) {
   World w;
   std::vector<UpstreamInfo> list;
