--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -117,7 +117,7 @@
 constexpr double kShedEase = 5;
 // Where this share of what can serve goes within some seconds, the rest is taken to bear this many times what
 // it bore; the share refused starts from there, and the answers tell whether that is too much.
-constexpr double kGreatLoss = 0.2;
+constexpr double kGreatLoss = 0.3;
 constexpr double kHeadroom = 1.1;
 constexpr Duration kLossMemory = seconds(20);
 constexpr double kMostShed = 0.9;  // the rest shows when it is over
