A great loss is one of four upstreams at least

Seen: the test dns_clients failed, a query refused as overload. Of three resolvers one says nothing, a third of what can serve, and the share refused started at once for a sidecar with a handful of queries. At fault: UpdateLoad(), which took shares of a pool of any size.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -118,6 +118,7 @@
 // Where this share of what can serve goes within some seconds, the rest is taken to bear this many times what
 // it bore; the share refused starts from there, and the answers tell whether that is too much.
 constexpr double kGreatLoss = 0.3;
+constexpr double kLeastLost = 4;  // upstreams; the one of three that fails is no sign of overload
 constexpr double kHeadroom = 1.1;
 constexpr Duration kLossMemory = seconds(20);
 constexpr double kMostShed = 0.9;  // the rest shows when it is over
@@ -930,9 +931,11 @@
 
   void UpdateLoad() {
     telling_weight_ = serving_weight_ = able_weight_ = 0;
+    int serving = 0;
     for (const UpstreamPtr& u : order_) {
       if (u->info.state != UpstreamState::kServing) continue;
       serving_weight_ += u->info.weight;
+      ++serving;
       if (Telling(*u)) telling_weight_ += u->info.weight;
       if (!u->ejected && !Suspect(*u)) able_weight_ += u->info.weight * LikelyWarmth(*u);
     }
@@ -940,7 +943,8 @@
     connecting_.value *= 1 - Seconds(kHousekeeping) / Seconds(kConnectingMemory);
     // What is lost at once is known before the answers of the rest come late: by then their queues are full.
     able_before_ = std::max(able_weight_, able_before_ * (1 - Seconds(kHousekeeping) / Seconds(kLossMemory)));
-    if (able_weight_ < able_before_ * (1 - kGreatLoss)) {
+    const double lost = able_before_ - able_weight_;
+    if (lost > able_before_ * kGreatLoss && lost * serving >= kLeastLost * serving_weight_) {
       shed_ = std::max(shed_, std::min(kMostShed, 1 - kHeadroom * able_weight_ / able_before_));
       able_before_ = able_weight_;
     }
