Count lines: names and members in tables, one loop each

Reason: three runs of the same line in CountLines::Write(), told apart by names only. Change: a table each for decisions, connections and discovery; what is logged stays as it was.

--- a/node/count_lines.cpp
+++ b/node/count_lines.cpp
@@ -12,9 +12,29 @@
 
 // Of upstreams, those that were sent most are named: a line must not grow with the list without end.
 constexpr std::size_t kMostNamed = 200;
-constexpr std::array<const char*, 8> kOutcomes = {"served", "error",     "full",     "timeout",
+constexpr std::array<const char*, 8> kOutcomes = {"served", "error", "full",      "timeout",
                                                   "noconn", "reset", "cancelled", "unsent"};
 
+// The counts by their names in the line.
+template <typename Counts>
+using Named = std::pair<const char*, std::uint64_t Counts::*>;
+using Decided = kestrellb::Counts;
+constexpr Named<Decided> kDecided[] = {
+    {"first", &Decided::first},       {"retries", &Decided::retries},   {"copies", &Decided::copies},
+    {"trials", &Decided::trials},     {"connects", &Decided::connects}, {"cold", &Decided::cold},
+    {"overload", &Decided::overload}, {"nobody", &Decided::nobody},     {"given_up", &Decided::given_up},
+    {"ejected", &Decided::ejected},   {"returned", &Decided::returned}};
+using Connections = HttpTransport::Counts;
+constexpr Named<Connections> kConnections[] = {{"opened", &Connections::opened},
+                                               {"never_up", &Connections::failed},
+                                               {"closed", &Connections::closed},
+                                               {"evicted", &Connections::evicted},
+                                               {"probes", &Connections::probes}};
+using Asked = Discovery::Counts;
+constexpr Named<Asked> kDiscovery[] = {{"calls", &Asked::calls},         {"whole_asked", &Asked::whole_asked},
+                                       {"calls_failed", &Asked::failed}, {"lists", &Asked::whole},
+                                       {"changes", &Asked::changes},     {"lines", &Asked::lines}};
+
 double Rounded(double value) { return std::round(value * 100) / 100; }
 
 // What is not zero, since the last time.
@@ -48,20 +68,10 @@
 void CountLines::Write() {
   const kestrellb::Counts decided = sidecar_.dispatcher().counts();
   json line;
-  Since attempts(line);
-  attempts.Put("first", decided.first, decided_.first);
-  attempts.Put("retries", decided.retries, decided_.retries);
-  attempts.Put("copies", decided.copies, decided_.copies);
-  attempts.Put("trials", decided.trials, decided_.trials);
-  attempts.Put("connects", decided.connects, decided_.connects);
-  attempts.Put("cold", decided.cold, decided_.cold);
-  attempts.Put("overload", decided.overload, decided_.overload);
-  attempts.Put("nobody", decided.nobody, decided_.nobody);
-  attempts.Put("given_up", decided.given_up, decided_.given_up);
-  attempts.Put("ejected", decided.ejected, decided_.ejected);
-  attempts.Put("returned", decided.returned, decided_.returned);
+  Since since_last(line);
+  for (const auto& [name, count] : kDecided) since_last.Put(name, decided.*count, decided_.*count);
   for (std::size_t i = 0; i < kOutcomes.size(); ++i) {
-    attempts.Put(kOutcomes[i], decided.ended[i], decided_.ended[i]);
+    since_last.Put(kOutcomes[i], decided.ended[i], decided_.ended[i]);
   }
   line["held"] = decided.held;
   if (decided.shed > 0) line["shed"] = Rounded(decided.shed);
@@ -70,23 +80,16 @@
   decided_ = decided;
 
   const HttpTransport::Counts connections = sidecar_.transport().counts();
-  attempts.Put("opened", connections.opened, connections_.opened);
-  attempts.Put("never_up", connections.failed, connections_.failed);
-  attempts.Put("closed", connections.closed, connections_.closed);
-  attempts.Put("evicted", connections.evicted, connections_.evicted);
-  attempts.Put("probes", connections.probes, connections_.probes);
+  for (const auto& [name, count] : kConnections)
+    since_last.Put(name, connections.*count, connections_.*count);
   connections_ = connections;
 
   const Discovery::Counts discovery = sidecar_.discovery().counts();
-  attempts.Put("calls", discovery.calls, discovery_.calls);
-  attempts.Put("whole_asked", discovery.whole_asked, discovery_.whole_asked);
-  attempts.Put("calls_failed", discovery.failed, discovery_.failed);
-  attempts.Put("lists", discovery.whole, discovery_.whole);
-  attempts.Put("changes", discovery.changes, discovery_.changes);
-  attempts.Put("lines", discovery.lines, discovery_.lines);
+  for (const auto& [name, count] : kDiscovery) since_last.Put(name, discovery.*count, discovery_.*count);
   discovery_ = discovery;
 
-  // By upstream: attempts since, those that ended without an answer, calls held, connections that wait, warmth; and whether it is avoided.
+  // By upstream: attempts since, those that ended without an answer, calls held, connections that wait,
+  // warmth; and whether it is avoided.
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> sent;
   json upstreams = json::object();
   int avoided = 0, cold = 0, listed = 0;
