A client that waits is taken though nobody told; one that left blocks nobody

Ruled out: the acceptor's wait.

At fault all the same, on any kernel: Acceptor::Accept and Close (asio blocks in poll for ECONNABORTED and EPROTO unless enable_connection_aborted is set, and with it the one thread), Acceptor::Wait (a wait that ended with an error was never begun again; Pause and Resume during a pause left two waits), Handover::Accept (ended at the first EMFILE).

Change: these mended. Counted, told by the door, logged once.

--- a/admin/server.cpp
+++ b/admin/server.cpp
@@ -191,6 +191,8 @@
       acceptor_.bind(stream_protocol::endpoint(place_.unix_path));
     }
     acceptor_.listen(kBacklog);
+    // Else a caller that left ahead of its turn hides those behind it until a further one comes.
+    acceptor_.set_option(boost::asio::socket_base::enable_connection_aborted(true));
   } catch (const boost::system::system_error& e) {
     throw std::runtime_error(place_.setting + ": " + local() + ": " + e.code().message() +
                              "; free the place, or name another");
--- a/core/acceptor.cpp
+++ b/core/acceptor.cpp
@@ -1,9 +1,11 @@
 #include "core/acceptor.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <boost/asio/detail/socket_option.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/system/error_code.hpp>
 #include <utility>
 
@@ -14,6 +16,11 @@
 using boost::system::error_code;
 
 constexpr Duration kPause = std::chrono::milliseconds(20);
+// A handler that is put off runs behind a look of the event loop at the system, but ahead of what that found; put off
+// twice it runs behind both.
+constexpr int kRounds = 2;
+// Clients that left ahead of their turn, one behind the other, before others get theirs.
+constexpr int kMostGone = 64;
 
 bool IsExhausted(const error_code& error) {
   return error == boost::asio::error::no_descriptors || error == boost::asio::error::no_memory ||
@@ -21,6 +28,11 @@
          error == boost::system::errc::too_many_files_open_in_system;
 }
 
+// Of the connection at the head of the queue, which is gone; nothing is wrong with the listening socket.
+bool IsOfOneClient(const error_code& error) {
+  return error == boost::asio::error::connection_aborted || error == boost::system::errc::protocol_error;
+}
+
 }  // namespace
 
 Acceptor::Acceptor(boost::asio::io_context& io, const ListenOn& where, std::string label, Owner& owner,
@@ -31,7 +43,8 @@
       log_(log),
       socket_(io),
       pause_(io),
-      paused_(where.paused) {
+      paused_(where.paused),
+      self_(std::make_shared<Acceptor*>(this)) {
   const auto protocol = where.endpoint.protocol();
   if (where.taken >= 0) {
     socket_.assign(protocol, where.taken);
@@ -46,25 +59,72 @@
     socket_.listen(boost::asio::socket_base::max_listen_connections);
   }
   socket_.non_blocking(true);
+  // Else asio takes a client that left ahead of its turn for a reason to block until the next one comes, and with it
+  // everything that this event loop serves.
+  socket_.set_option(boost::asio::socket_base::enable_connection_aborted(true));
   Wait();
 }
 
 // Waits for a client before making room for it, and without a descriptor of its own.
 void Acceptor::Wait() {
-  if (paused_) return;
-  socket_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
-    if (!error && socket_.is_open() && !paused_) Accept();
+  if (paused_ || waiting_) return;
+  waiting_ = true;
+  socket_.async_wait(tcp::acceptor::wait_read, [weak = std::weak_ptr(self_)](error_code error) {
+    const auto self = weak.lock();
+    if (!self) return;
+    Acceptor& acceptor = **self;
+    acceptor.waiting_ = false;
+    ++acceptor.woken_;
+    if (acceptor.paused_ || !acceptor.socket_.is_open()) return;
+    if (!error) return acceptor.Accept();
+    // Paused, and resumed since.
+    if (error == boost::asio::error::operation_aborted) return acceptor.Wait();
+    // Nobody foresaw it, and it must not end the listening.
+    acceptor.log_.Line(acceptor.label_ + "waiting for clients: " + error.message());
+    acceptor.WaitLater();
   });
 }
 
 void Acceptor::WaitLater() {
   pause_.expires_after(kPause);
   pause_.async_wait([this](error_code error) {
-    if (!error && socket_.is_open()) Wait();
+    if (error || !socket_.is_open() || paused_) return;
+    // A wait that missed a client does not hear of it after the pause either.
+    waiting_ ? Accept() : Wait();
+  });
+}
+
+bool Acceptor::ClientWaits() {
+  pollfd listening{socket_.native_handle(), POLLIN, 0};
+  return ::poll(&listening, 1, 0) == 1 && (listening.revents & POLLIN) != 0;
+}
+
+void Acceptor::Look() {
+  // Without a wait there is a pause, which ends by a timer.
+  if (!waiting_ || paused_ || looking_ || !socket_.is_open() || !ClientWaits()) return;
+  looking_ = true;
+  LookAgain(kRounds);
+}
+
+// It may just have come: the event loop gets its chance to tell first.
+void Acceptor::LookAgain(int rounds) {
+  boost::asio::post(io_, [weak = std::weak_ptr(self_), rounds, woken = woken_] {
+    const auto self = weak.lock();
+    if (!self) return;
+    Acceptor& acceptor = **self;
+    const bool told = acceptor.woken_ != woken || !acceptor.waiting_;
+    if (!told && rounds > 1) return acceptor.LookAgain(rounds - 1);
+    acceptor.looking_ = false;
+    if (told || acceptor.paused_ || !acceptor.socket_.is_open() || !acceptor.ClientWaits()) return;
+    if (acceptor.missed_++ == 0) {
+      acceptor.log_.Line(acceptor.label_ + "a client waited and the system did not tell; further ones are only counted");
+    }
+    acceptor.Accept();
   });
 }
 
 void Acceptor::Accept() {
+  int gone = 0;
   while (true) {
     while (!owner_.Room()) {
       if (!owner_.MakeRoom()) return WaitLater();
@@ -79,7 +139,7 @@
       continue;
     }
     if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) break;
-    if (error == boost::asio::error::connection_aborted) continue;
+    if (IsOfOneClient(error) && ++gone < kMostGone) continue;
     log_.Line(label_ + "accept: " + error.message());
     if (error == boost::asio::error::bad_descriptor) return;
     // Guards against a spin where descriptors or memory ran out: the client stays in the backlog.
@@ -110,7 +170,7 @@
 
 void Acceptor::Close() {
   error_code error;
-  while (!error) {
+  for (int gone = 0; !error || (IsOfOneClient(error) && ++gone < kMostGone);) {
     tcp::socket socket(io_);
     socket_.accept(socket, error);
     if (!error) owner_.Admit(std::move(socket));
--- a/core/acceptor.h
+++ b/core/acceptor.h
@@ -1,10 +1,15 @@
 // A listening TCP socket. Room for a connection is made only once a client waits for it; where the system has
 // no descriptor or memory left, clients stay in the backlog for a moment instead of the program spinning.
+//
+// The event loop is told once of a client that waits. Whoever owns an Acceptor calls Look() now and then, so that a
+// client is taken also where that once was missed: docs/design/wakeups.md.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
 #include <string>
 
 #include "core/address.h"
@@ -53,10 +58,18 @@
   bool paused() const { return paused_; }
   int native_handle() { return socket_.native_handle(); }
 
+  // Takes clients that wait although the event loop has had its chance to tell of them. Costs one system call where
+  // there is none. To be called from the event loop.
+  void Look();
+  // Times that only a look found clients: more than 0 is a fault of the system or of the event loop.
+  std::uint64_t missed() const { return missed_; }
+
  private:
   void Wait();
   void WaitLater();
   void Accept();
+  bool ClientWaits();
+  void LookAgain(int rounds);
 
   boost::asio::io_context& io_;
   const std::string label_;
@@ -65,6 +78,11 @@
   boost::asio::ip::tcp::acceptor socket_;
   boost::asio::steady_timer pause_;
   bool paused_ = false;
+  bool waiting_ = false;  // the event loop is to tell of the next client
+  bool looking_ = false;  // a look found one that the event loop may still tell of
+  std::uint64_t woken_ = 0;
+  std::uint64_t missed_ = 0;
+  const std::shared_ptr<Acceptor*> self_;  // goes with this: handlers that are still to come must not touch it
 };
 
 }  // namespace mothrack
--- a/dns/tcp_server.cpp
+++ b/dns/tcp_server.cpp
@@ -244,6 +244,7 @@
 }
 
 void TcpServer::Sweep() {
+  acceptor_.Look();
   const TimePoint now = Now();
   const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
   for (const auto& connection : all) {
--- a/handover/handover.cpp
+++ b/handover/handover.cpp
@@ -142,6 +142,7 @@
       owner_(owner),
       log_(log),
       acceptor_(io),
+      pause_(io),
       predecessor_(std::move(predecessor)) {
   if (!predecessor_) return;
   const auto link = predecessor_;  // it may end at once
@@ -180,6 +181,8 @@
   const std::string fresh = path_ + '.' + std::to_string(::getpid());
   ::unlink(fresh.c_str());
   acceptor_.open();
+  // Else one that left ahead of its turn hides those behind it until a further one comes.
+  acceptor_.set_option(boost::asio::socket_base::enable_connection_aborted(true));
   const mode_t before = ::umask(0177);
   error_code error;
   acceptor_.bind(Protocol::endpoint(fresh), error);
@@ -198,7 +201,9 @@
 
 void Handover::Accept() {
   acceptor_.async_accept([this](error_code error, Protocol::socket socket) {
-    if (error) return;
+    if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) return;
+    // Descriptors or memory ran out for a moment: a successor must find this process all the same.
+    if (error) return AcceptLater();
     if (asking_) std::exchange(asking_, nullptr)->Drop();  // one that asks does so at once
     asking_ = std::make_shared<Link>(std::move(socket));
     asking_->Start([this, link = asking_.get()](const json& line) { Asked(link->shared_from_this(), line); },
@@ -207,6 +212,13 @@
   });
 }
 
+void Handover::AcceptLater() {
+  pause_.expires_after(kAskAgain);
+  pause_.async_wait([this](error_code error) {
+    if (!error && acceptor_.is_open()) Accept();
+  });
+}
+
 void Handover::Asked(const std::shared_ptr<Link>& link, const json& line) {
   if (link == successor_) {
     if (!line.contains("ready")) return owner_.Heard(line);
--- a/handover/handover.h
+++ b/handover/handover.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -74,6 +75,7 @@
   void ListenOrSay();
   void Listen();
   void Accept();
+  void AcceptLater();
   void Asked(const std::shared_ptr<Link>& link, const nlohmann::json& line);
   void Give(const std::shared_ptr<Link>& link);
 
@@ -82,6 +84,7 @@
   Owner& owner_;
   Logger& log_;
   Protocol::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
   std::shared_ptr<Link> predecessor_;
   std::shared_ptr<Link> successor_;
   std::shared_ptr<Link> asking_;  // has connected, and not asked yet
--- a/http/front.cpp
+++ b/http/front.cpp
@@ -91,6 +91,12 @@
   return response;
 }
 
+Duration ShortestDeadline(const kestrellb::Settings& settings) {
+  Duration shortest = Duration::max();
+  for (const auto& known : settings.classes) shortest = std::min(shortest, known.deadline);
+  return shortest;
+}
+
 ComingBody Coming(Final& final) {
   return final.streaming ? std::move(static_cast<HttpReply&>(*final.reply).coming) : ComingBody{};
 }
@@ -113,7 +119,7 @@
 HttpFront::HttpFront(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors,
                      ByteBudget& budget, Logger& log, Dispatcher& dispatcher)
     : dispatcher_(dispatcher),
-      listener_(io, where, descriptors, budget, log,
+      listener_(io, where, descriptors, budget, log, ShortestDeadline(dispatcher.settings()),
                 [this](HttpRequest request, ComingBody coming, Listener::Reply reply) {
                   return Take(std::move(request), std::move(coming), std::move(reply));
                 }) {
--- a/http/front.h
+++ b/http/front.h
@@ -23,6 +23,8 @@
   int native_handle() { return listener_.native_handle(); }
   void Rest(bool on) { listener_.Rest(on); }
   bool resting() const { return listener_.resting(); }
+  // Times that clients waited and the system did not tell.
+  std::uint64_t missed() const { return listener_.missed(); }
   // A planned stop; `done` is called when all that was taken is answered.
   void Drain(std::function<void()> done) { listener_.Drain(std::move(done)); }
 
--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -22,7 +22,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto kSweep = milliseconds(250);
+constexpr Duration kSweep = milliseconds(250);
+// With shorter deadlines it sweeps this often within the shortest, for the sake of clients in the system's queue.
+constexpr int kSweepsInDeadline = 3;
+// While requests pass, that queue is looked at this often: a system call in 20 ms is nothing beside them.
+constexpr Duration kLook = milliseconds(20);
 constexpr auto kDrainSweep = milliseconds(10);
 // A connection has so long, from its start, for its first whole request; a later request from its first byte
 // on; an answer to be taken. Not renewed by what trickles: the deployment wants silent and stalled clients
@@ -149,6 +153,7 @@
     head_checked_ = false;
     scanned_ = 0;
     since_ = Now();
+    if (owner_ != nullptr) owner_->Heard(since_);
     if (buffer_.size() == 0) buffer_.shrink_to_fit();  // most connections are idle most of the time
   }
 
@@ -446,12 +451,13 @@
 };
 
 Listener::Listener(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors,
-                   ByteBudget& budget, Logger& log, OnRequest on_request)
+                   ByteBudget& budget, Logger& log, Duration shortest_deadline, OnRequest on_request)
     : descriptors_(descriptors),
       budget_(budget),
       log_(log),
       on_request_(std::move(on_request)),
       acceptor_(io, where, "", *this, log),
+      sweep_every_(std::clamp(shortest_deadline / kSweepsInDeadline, kLook, kSweep)),
       sweep_(io) {
   ScheduleSweep();
 }
@@ -512,7 +518,7 @@
 }
 
 void Listener::ScheduleSweep() {
-  sweep_.expires_after(resting() ? kDrainSweep : kSweep);
+  sweep_.expires_after(resting() ? Duration(kDrainSweep) : sweep_every_);
   sweep_.async_wait([this](error_code error) {
     if (error) return;
     Sweep();
@@ -521,8 +527,15 @@
   });
 }
 
+void Listener::Heard(TimePoint now) {
+  if (now - looked_ < kLook) return;
+  looked_ = now;
+  acceptor_.Look();
+}
+
 void Listener::Sweep() {
   const TimePoint now = Now();
+  Heard(now);
   const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
   for (const auto& connection : all) {
     if (resting() && !connection->Fresh(now) && connection->SparesClose()) connection->Close();
--- a/http/listener.h
+++ b/http/listener.h
@@ -31,8 +31,9 @@
   using OnRequest = std::function<Taken(HttpRequest request, ComingBody coming, Reply reply)>;
 
   // Binds and listens; throws boost::system::system_error.
+  // `shortest_deadline` is of a request: a client that the system does not tell of is found well within it.
   Listener(boost::asio::io_context& io, const ListenOn& where, Descriptors& descriptors,
-           ByteBudget& budget, Logger& log, OnRequest on_request);
+           ByteBudget& budget, Logger& log, Duration shortest_deadline, OnRequest on_request);
   ~Listener();
 
   Endpoint local() const { return acceptor_.local(); }
@@ -45,6 +46,8 @@
   // answer. It listens on, so that `/up` can be asked; what still comes is served.
   void Rest(bool on);
   bool resting() const { return resting_ || drained_; }
+  // Clients that waited in the system's queue and of which it did not tell.
+  std::uint64_t missed() const { return acceptor_.missed(); }
   // A planned stop: serves what still comes for a while, unless a successor does, tells each client to close,
   // then calls `done`.
   void Drain(std::function<void()> done);
@@ -57,6 +60,8 @@
   void Admit(boost::asio::ip::tcp::socket socket) override;
   void ScheduleSweep();
   void Sweep();
+  // Something came from a client.
+  void Heard(TimePoint now);
 
   Descriptors& descriptors_;
   ByteBudget& budget_;
@@ -64,6 +69,8 @@
   const OnRequest on_request_;
   std::set<std::shared_ptr<Connection>> connections_;
   Acceptor acceptor_;
+  const Duration sweep_every_;
+  TimePoint looked_;  // for clients that wait
   boost::asio::steady_timer sweep_;
   std::function<void()> drained_;  // set while draining
   bool resting_ = false;
--- a/node/program.cpp
+++ b/node/program.cpp
@@ -214,6 +214,7 @@
             {"now_ms", admin::UnixMilliseconds()},
             {"configuration", std::move(configuration)},
             {"process", admin::ProcessReport(told_.sockets())},
+            {"missed_wakeups", sidecar_ ? sidecar_->missed() : 0},
             {"pools", std::move(pools)}};
   }
 
--- a/node/sidecar.h
+++ b/node/sidecar.h
@@ -58,6 +58,8 @@
   bool Ban(const std::string& uid) { return dispatcher_.Ban(uid); }
   void RestoreBans(const std::set<std::string>& bans) { dispatcher_.RestoreBans(bans); }
   bool Unban(const std::string& uid) { return dispatcher_.Unban(uid); }
+  // Times that clients waited and the system did not tell.
+  std::uint64_t missed() const { return front_.missed(); }
   // Empties it; takes clients again.
   void Rest(bool on) { front_.Rest(on); }
   bool resting() const { return front_.resting(); }
--- /dev/null
+++ b/tests/acceptor_test.cpp
@@ -0,0 +1,331 @@
+// The acceptor on a loopback socket of its own, with a system that errs on demand: wake-ups that get lost, clients that
+// left ahead of their turn, no descriptor left. The system's calls are the test's own here, and pass on to the real ones.
+#include <dlfcn.h>
+#include <poll.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cerrno>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "core/acceptor.h"
+#include "gtest/gtest.h"
+
+namespace {
+
+// What the system does to the one listening socket under test.
+struct System {
+  int listening = -1;
+  int fails = 0;  // of the next calls of accept
+  int error = 0;  // with this
+  bool takes = false;  // and the client at the head of the queue is gone then
+  std::function<void()> after_refusal;  // once, when accept has found nobody
+  int lost_wakes = 0;                   // of the next that tell of a client
+  int blocked = 0;                      // calls that would have waited without an end
+  std::map<int, void*> registered;      // with epoll, by descriptor
+} system_;
+
+template <typename F>
+F* Next(const char* name) {
+  return reinterpret_cast<F*>(::dlsym(RTLD_NEXT, name));
+}
+
+}  // namespace
+
+extern "C" int accept(int fd, sockaddr* from, socklen_t* size) {
+  static const auto next = Next<int(int, sockaddr*, socklen_t*)>("accept");
+  if (fd == system_.listening && system_.fails > 0) {
+    --system_.fails;
+    if (system_.takes) ::close(next(fd, from, size));
+    errno = system_.error;
+    return -1;
+  }
+  const int taken = next(fd, from, size);
+  if (fd == system_.listening && taken < 0 && system_.after_refusal) {
+    const int error = errno;
+    std::exchange(system_.after_refusal, nullptr)();
+    errno = error;
+  }
+  return taken;
+}
+
+extern "C" int poll(pollfd* fds, nfds_t count, int timeout) {
+  static const auto next = Next<int(pollfd*, nfds_t, int)>("poll");
+  if (timeout < 0 && count == 1 && fds->fd == system_.listening) {
+    ++system_.blocked;
+    errno = EINTR;
+    return -1;
+  }
+  return next(fds, count, timeout);
+}
+
+extern "C" int epoll_ctl(int epoll, int what, int fd, epoll_event* event) {
+  static const auto next = Next<int(int, int, int, epoll_event*)>("epoll_ctl");
+  if (event != nullptr) system_.registered[fd] = event->data.ptr;
+  return next(epoll, what, fd, event);
+}
+
+extern "C" int epoll_wait(int epoll, epoll_event* events, int most, int timeout) {
+  static const auto next = Next<int(int, epoll_event*, int, int)>("epoll_wait");
+  const int told = next(epoll, events, most, timeout);
+  int kept = 0;
+  for (int i = 0; i < told; ++i) {
+    const auto listening = system_.registered.find(system_.listening);
+    if (system_.lost_wakes > 0 && listening != system_.registered.end() &&
+        events[i].data.ptr == listening->second && (events[i].events & EPOLLIN) != 0) {
+      --system_.lost_wakes;
+      continue;
+    }
+    events[kept++] = events[i];
+  }
+  return kept;
+}
+
+namespace mothrack {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+class AcceptorTest : public ::testing::Test, protected Acceptor::Owner {
+ protected:
+  AcceptorTest() { Start(false); }
+  ~AcceptorTest() override { system_.listening = -1; }
+
+  void Start(bool paused) {
+    system_.listening = -1;
+    system_.fails = system_.lost_wakes = 0;
+    system_.takes = false;
+    system_.after_refusal = nullptr;
+    system_.blocked = 0;
+    ListenOn where(Endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    where.paused = paused;
+    acceptor.emplace(io, where, "", static_cast<Acceptor::Owner&>(*this), log);
+    system_.listening = acceptor->native_handle();
+  }
+
+  bool Room() const override { return room > 0; }
+  bool MakeRoom() override { return false; }
+  void Admit(tcp::socket socket) override {
+    --room;
+    admitted.push_back(std::move(socket));
+  }
+
+  // A client that connects, and waits.
+  void Connect() {
+    clients.emplace_back(own);
+    clients.back().connect(acceptor->local());
+  }
+
+  // Runs the event loop, as long as it takes for so many clients to be admitted, two seconds at most.
+  bool Admits(std::size_t count) {
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+    io.restart();
+    while (admitted.size() < count && std::chrono::steady_clock::now() < until) io.run_one_for(milliseconds(20));
+    return admitted.size() >= count;
+  }
+  // Lets the event loop do what is to be done by now.
+  void Settle() {
+    io.restart();
+    while (io.run_one_for(milliseconds(5)) > 0) {
+    }
+  }
+
+  int room = 1 << 30;
+  Logger log{"t"};
+  boost::asio::io_context own;  // of the clients: never run
+  boost::asio::io_context io{1};
+  std::optional<Acceptor> acceptor;
+  std::vector<tcp::socket> admitted;
+  std::vector<tcp::socket> clients;
+};
+
+TEST_F(AcceptorTest, AdmitsAClientThatComesBetweenTheLastRefusalAndTheWait) {
+  Settle();
+  system_.after_refusal = [this] { Connect(); };
+  Connect();
+  EXPECT_TRUE(Admits(2));
+  EXPECT_EQ(acceptor->missed(), 0U);
+}
+
+TEST_F(AcceptorTest, ALookFindsAClientOfWhichNobodyTold) {
+  Settle();
+  system_.lost_wakes = 1;
+  Connect();
+  Settle();
+  ASSERT_TRUE(admitted.empty());
+  ASSERT_EQ(system_.lost_wakes, 0);
+  acceptor->Look();
+  Settle();
+  EXPECT_EQ(admitted.size(), 1U);
+  EXPECT_EQ(acceptor->missed(), 1U);
+  // And from then on as ever.
+  Connect();
+  EXPECT_TRUE(Admits(2));
+  EXPECT_EQ(acceptor->missed(), 1U);
+}
+
+TEST_F(AcceptorTest, ALookLeavesToTheEventLoopWhatThatIsAboutToTell) {
+  Settle();
+  Connect();
+  acceptor->Look();
+  EXPECT_TRUE(Admits(1));
+  Settle();
+  EXPECT_EQ(acceptor->missed(), 0U);
+}
+
+TEST_F(AcceptorTest, ALookFindsNobodyWhereNobodyWaits) {
+  Settle();
+  for (int i = 0; i < 10; ++i) acceptor->Look();
+  Settle();
+  EXPECT_EQ(acceptor->missed(), 0U);
+  EXPECT_TRUE(admitted.empty());
+}
+
+// With every wake-up lost, looks alone serve all, also those that found no room at first.
+TEST_F(AcceptorTest, LooksServeAllWhereEveryWakeUpIsLost) {
+  Settle();
+  system_.lost_wakes = 1 << 30;
+  room = 0;
+  Connect();
+  Settle();
+  acceptor->Look();
+  Settle();
+  EXPECT_TRUE(admitted.empty());
+  room = 1 << 30;  // the pause for want of room ends by a timer
+  EXPECT_TRUE(Admits(1));
+  for (std::size_t i = 2; i < 6; ++i) {
+    Connect();
+    acceptor->Look();
+    EXPECT_TRUE(Admits(i));
+  }
+}
+
+TEST_F(AcceptorTest, AClientThatLeftAheadOfItsTurnBlocksNobody) {
+  Settle();
+  system_.fails = 1;
+  system_.error = ECONNABORTED;
+  system_.takes = true;
+  Connect();
+  Connect();
+  EXPECT_TRUE(Admits(1));
+  Settle();
+  EXPECT_EQ(system_.blocked, 0);
+  EXPECT_EQ(admitted.size(), 1U);
+}
+
+TEST_F(AcceptorTest, ASystemThatOnlyFailsIsNotAskedWithoutAnEnd) {
+  Settle();
+  system_.fails = 1000;
+  system_.error = ECONNABORTED;
+  Connect();
+  EXPECT_TRUE(Admits(1));  // after some pauses
+  EXPECT_EQ(system_.fails, 0);
+}
+
+TEST_F(AcceptorTest, AdmitsOnceThereAreDescriptorsAgainAndNoFurtherClientComes) {
+  for (const int error : {EMFILE, ENFILE, ENOMEM, ENOBUFS, ENETDOWN}) {
+    const std::size_t before = admitted.size();
+    Settle();
+    system_.fails = 3;
+    system_.error = error;
+    Connect();
+    EXPECT_TRUE(Admits(before + 1)) << error;
+    EXPECT_EQ(system_.fails, 0);
+  }
+}
+
+TEST_F(AcceptorTest, WhoWaitedDuringAPauseIsAdmittedAfterIt) {
+  Settle();
+  acceptor->Pause();
+  Connect();
+  Settle();
+  acceptor->Look();
+  Settle();
+  EXPECT_TRUE(admitted.empty());
+  acceptor->Resume();
+  EXPECT_TRUE(Admits(1));
+}
+
+TEST_F(AcceptorTest, ResumedAtOnceItWaitsOnce) {
+  for (int i = 0; i < 50; ++i) {
+    acceptor->Pause();
+    acceptor->Resume();
+  }
+  Connect();
+  EXPECT_TRUE(Admits(1));
+  Settle();
+  // Each wait that ends asks once more whether somebody waits: one wait, one refusal.
+  int refusals = 0;
+  std::function<void()> count = [&] {
+    ++refusals;
+    system_.after_refusal = count;
+  };
+  system_.after_refusal = count;
+  Connect();
+  EXPECT_TRUE(Admits(2));
+  Settle();
+  system_.after_refusal = nullptr;
+  EXPECT_EQ(refusals, 1);
+}
+
+TEST_F(AcceptorTest, PausedWhileThereIsNoDescriptorItAdmitsAfterBoth) {
+  Settle();
+  system_.fails = 1;
+  system_.error = EMFILE;
+  Connect();
+  Settle();
+  acceptor->Pause();
+  acceptor->Resume();
+  EXPECT_TRUE(Admits(1));
+}
+
+TEST_F(AcceptorTest, WhoWaitsWhenItClosesIsAdmittedAlsoBehindOneThatLeft) {
+  Settle();
+  Connect();
+  Connect();
+  Connect();
+  system_.fails = 1;
+  system_.error = ECONNABORTED;
+  system_.takes = true;
+  acceptor->Close();
+  EXPECT_EQ(admitted.size(), 2U);
+  EXPECT_EQ(system_.blocked, 0);
+}
+
+TEST_F(AcceptorTest, GoneItIsNotTouchedByWhatWasPutOff) {
+  Settle();
+  system_.lost_wakes = 1;
+  Connect();
+  Settle();
+  acceptor->Look();
+  system_.listening = -1;
+  acceptor.reset();
+  Settle();
+  EXPECT_TRUE(admitted.empty());
+}
+
+// One client after the other, each alone with an acceptor that has nothing else to do.
+TEST_F(AcceptorTest, TenThousandLoneClientsInARow) {
+  constexpr std::size_t kClients = 10000;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    Connect();
+    ASSERT_TRUE(Admits(1)) << i;
+    // Reset, so that no address is held for long.
+    admitted.back().set_option(boost::asio::socket_base::linger(true, 0));
+    admitted.clear();
+    clients.clear();
+  }
+  EXPECT_EQ(acceptor->missed(), 0U);
+}
+
+}  // namespace
+}  // namespace mothrack
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -116,6 +116,7 @@
   EXPECT_EQ(body["configuration"]["generation"], 1);
   EXPECT_EQ(body["configuration"]["hash"].get<std::string>().size(), 16U);
   EXPECT_EQ(body["process"]["pid"], node.pid());
+  EXPECT_EQ(body["missed_wakeups"], 0);
   EXPECT_GT(body["process"]["memory_bytes"], 1 << 20);
   EXPECT_GE(body["process"]["descriptors"], 8);
   EXPECT_LE(body["process"]["descriptors"], node.descriptors() + 1) << "with the connection that asked";
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1090,5 +1090,43 @@
   EXPECT_TRUE(BecomesServedBy(node, "u /page/k"));
 }
 
+// ---- Wake-ups ----
+
+std::size_t Count(const std::string& text, const std::string& part) {
+  std::size_t count = 0;
+  for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++count;
+  return count;
+}
+
+// A class's deadline is 5 s here: a client of which the system says nothing is found well within it.
+TEST(WakeUps, ClientsAreServedWhereTheSystemNeverTellsOfThem) {
+  Upstream upstream(Upstream::Echo("u"));
+  Node::Options options = With(List({Target("u1", upstream.address())}));
+  options.lost_wakes = true;
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < 5; ++i) {
+    clients.push_back(std::make_unique<Client>(node.port()));
+    const auto response = clients.back()->Get("/page/k", "w" + std::to_string(i));
+    ASSERT_TRUE(response) << i;
+    EXPECT_EQ(response->result_int(), 200U);
+  }
+  EXPECT_EQ(Count(node.log(), "the system did not tell"), 1U);
+}
+
+// Nothing else happens at the sidecar, and no client comes behind the one that waits.
+TEST(WakeUps, LoneClientsOneAfterTheOther) {
+  Node node(With(List({})));
+  ASSERT_TRUE(node.Listening());
+  for (int i = 0; i < 10000; ++i) {
+    Client client(node.port());
+    ASSERT_TRUE(client.Send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n"));
+    ASSERT_TRUE(client.Read()) << i;
+    client.wire.Reset();
+  }
+  EXPECT_EQ(Count(node.log(), "the system did not tell"), 0U);
+}
+
 }  // namespace
 }  // namespace mothrack::testing
--- /dev/null
+++ b/tests/standins/lost_wakes.cpp
@@ -0,0 +1,46 @@
+// Loaded into a program by LD_PRELOAD: the system never tells it of a client that waits at a listening socket.
+#include <dlfcn.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace {
+
+// One thread registers and waits in the program under test; what lies beyond is told of as ever.
+std::array<void*, 4096> registered{};
+
+bool Listens(const void* tag) {
+  for (int fd = 0; fd < static_cast<int>(registered.size()); ++fd) {
+    if (registered[static_cast<std::size_t>(fd)] != tag) continue;
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    return ::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 && listens == 1;
+  }
+  return false;
+}
+
+}  // namespace
+
+extern "C" int epoll_ctl(int epoll, int what, int fd, epoll_event* event) {
+  using Function = int (*)(int, int, int, epoll_event*);
+  static const auto next = reinterpret_cast<Function>(::dlsym(RTLD_NEXT, "epoll_ctl"));
+  if (event != nullptr && fd >= 0 && fd < static_cast<int>(registered.size())) {
+    for (void*& tag : registered) {
+      if (tag == event->data.ptr) tag = nullptr;  // of a descriptor that is closed
+    }
+    registered[static_cast<std::size_t>(fd)] = event->data.ptr;
+  }
+  return next(epoll, what, fd, event);
+}
+
+extern "C" int epoll_wait(int epoll, epoll_event* events, int most, int timeout) {
+  using Function = int (*)(int, epoll_event*, int, int);
+  static const auto next = reinterpret_cast<Function>(::dlsym(RTLD_NEXT, "epoll_wait"));
+  const int told = next(epoll, events, most, timeout);
+  int kept = 0;
+  for (int i = 0; i < told; ++i) {
+    if (!Listens(events[i].data.ptr)) events[kept++] = events[i];
+  }
+  return told < 0 ? told : kept;
+}
--- a/tests/standins/peers.cpp
+++ b/tests/standins/peers.cpp
@@ -273,11 +273,12 @@
   if (!options.operator_file.empty()) std::ofstream(operator_path_) << options.operator_file;
 
   std::vector<std::string> environment = options.environment;
-  if (options.full_send != 0 || options.few_sockets != 0) {
-    environment.push_back("LD_PRELOAD=" +
-                          std::string(options.full_send != 0 ? MOTHRACK_FULL_SEND : MOTHRACK_FEW_SOCKETS));
-    environment.push_back(options.full_send != 0 ? "FULL_SEND=" + std::to_string(options.full_send)
-                                                 : "FEW_SOCKETS=" + std::to_string(options.few_sockets));
+  if (options.full_send != 0 || options.few_sockets != 0 || options.lost_wakes) {
+    environment.push_back("LD_PRELOAD=" + std::string(options.full_send != 0     ? MOTHRACK_FULL_SEND
+                                                      : options.few_sockets != 0 ? MOTHRACK_FEW_SOCKETS
+                                                                                 : MOTHRACK_LOST_WAKES));
+    environment.push_back("FULL_SEND=" + std::to_string(options.full_send));
+    if (options.few_sockets != 0) environment.push_back("FEW_SOCKETS=" + std::to_string(options.few_sockets));
     // The sanitizers want to be loaded first; here the refusal is.
     environment.push_back("ASAN_OPTIONS=verify_asan_link_order=0");
   }
--- a/tests/standins/peers.h
+++ b/tests/standins/peers.h
@@ -171,6 +171,7 @@
     std::vector<std::string> environment{};  // further NAME=VALUE
     int full_send = 0;    // of its datagrams, the system takes only every so manieth at the first try
     int few_sockets = 0;  // the system gives it no socket of this number or more
+    bool lost_wakes = false;  // the system never tells it of a client that waits
   };
   explicit Node(const Options& options);
   ~Node();
