mothrack-agent and mothrackctl: many sidecars seen, changed and restarted together

Need: before a rolling deploy somebody logs into machine after machine; the decisions of a change were there, and no program that used them.

--- a/admin/door.cpp
+++ b/admin/door.cpp
@@ -1,8 +1,6 @@
 #include "admin/door.h"
 
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
-#include <cctype>
 #include <utility>
 
 namespace mothrack::admin {
@@ -10,44 +8,11 @@
 
 constexpr double kPerSecond = 20;
 
-// Takes the same time whatever `given` is, but for its length, which is no secret.
-bool Same(const std::string& given, const std::string& secret) {
-  unsigned char differ = given.size() == secret.size() ? 0 : 1;
-  for (std::size_t i = 0; i < given.size(); ++i) {
-    differ |= static_cast<unsigned char>(given[i] ^ secret[secret.empty() ? 0 : i % secret.size()]);
-  }
-  return differ == 0 && !secret.empty();
-}
-
-// A part of a URL as it was before it was escaped (RFC 3986 section 2.1); what is no escape stays as it is.
-std::string Unescaped(const std::string& text) {
-  const auto digit = [](char c) { return std::isxdigit(static_cast<unsigned char>(c)) != 0; };
-  std::string plain;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    if (text[i] == '%' && i + 2 < text.size() && digit(text[i + 1]) && digit(text[i + 2])) {
-      plain += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
-      i += 2;
-    } else {
-      plain += text[i];
-    }
-  }
-  return plain;
-}
-
 std::string After(const Call& call) {
   static const std::string kName = "after=";
   return call.query.rfind(kName, 0) == 0 ? Unescaped(call.query.substr(kName.size())) : std::string();
 }
 
-bool HoldsToken(const Call& call, const std::string& token) {
-  static const std::string kScheme = "Bearer ";
-  const std::string& given = call.authorization;
-  if (given.size() < kScheme.size() || !boost::beast::iequals(given.substr(0, kScheme.size()), kScheme)) {
-    return false;
-  }
-  return Same(given.substr(kScheme.size()), token);
-}
-
 }  // namespace
 
 Door::Door(boost::asio::io_context& io, const Settings& settings, Source source, Logger& log)
--- a/admin/server.cpp
+++ b/admin/server.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/local/stream_protocol.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cctype>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
@@ -68,8 +69,40 @@
   mode_t before_;
 };
 
+// Takes the same time whatever `given` is, but for its length, which is no secret.
+bool Same(const std::string& given, const std::string& secret) {
+  unsigned char differ = given.size() == secret.size() ? 0 : 1;
+  for (std::size_t i = 0; i < given.size(); ++i) {
+    differ |= static_cast<unsigned char>(given[i] ^ secret[secret.empty() ? 0 : i % secret.size()]);
+  }
+  return differ == 0 && !secret.empty();
+}
+
 }  // namespace
 
+std::string Unescaped(const std::string& text) {
+  const auto digit = [](char c) { return std::isxdigit(static_cast<unsigned char>(c)) != 0; };
+  std::string plain;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size() && digit(text[i + 1]) && digit(text[i + 2])) {
+      plain += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+      i += 2;
+    } else {
+      plain += text[i];
+    }
+  }
+  return plain;
+}
+
+bool HoldsToken(const Call& call, const std::string& token) {
+  static const std::string kScheme = "Bearer ";
+  const std::string& given = call.authorization;
+  if (given.size() < kScheme.size() || !boost::beast::iequals(given.substr(0, kScheme.size()), kScheme)) {
+    return false;
+  }
+  return Same(given.substr(kScheme.size()), token);
+}
+
 // One connection: one call, one answer.
 class Server::Visit : public std::enable_shared_from_this<Visit> {
  public:
--- a/admin/server.h
+++ b/admin/server.h
@@ -37,6 +37,12 @@
 
 inline Answer Fault(unsigned status, const std::string& why) { return {status, {{"error", why}}}; }
 
+// Does it give this token, as `Authorization: Bearer TOKEN` (RFC 6750 section 2.1)? Compared in constant time.
+bool HoldsToken(const Call& call, const std::string& token);
+
+// A part of a URL as it was before it was escaped (RFC 3986 section 2.1); what is no escape stays as it is.
+std::string Unescaped(const std::string& text);
+
 // What is asked of a server; the others are told which there are.
 struct Route {
   std::string method;
--- /dev/null
+++ b/fleet/agent.cpp
@@ -0,0 +1,181 @@
+#include "fleet/agent.h"
+
+#include <utility>
+
+namespace mothrack::fleet {
+namespace {
+
+constexpr const char* kNotOnDisk = "its disk takes nothing; mend that first";
+
+}  // namespace
+
+Agent::Agent(Store& store, Machine& machine, const Stored& stored,
+             const std::map<std::string, std::string>& instances, const InstanceLimits& limits,
+             Duration lease_time, TimePoint now)
+    : store_(store), machine_(machine), lease_(stored.lease, lease_time, now), plans_(stored.plans) {
+  for (const auto& [name, generation] : instances) {
+    InstanceRecord record;
+    record.generation = generation;
+    // What is on record counts: the file names only what an instance begins with.
+    if (const auto it = stored.records.find(name); it != stored.records.end()) record = it->second;
+    kept_.emplace(name, Kept{Instance(record, limits), record});
+  }
+}
+
+std::vector<std::string> Agent::Names() const {
+  std::vector<std::string> names;
+  for (const auto& [name, kept] : kept_) names.push_back(name);
+  return names;
+}
+
+const Plan* Agent::PlanOf(const std::string& change) const {
+  const auto it = plans_.find(change);
+  return it == plans_.end() ? nullptr : &it->second;
+}
+
+bool Agent::behind() const {
+  for (const auto& [name, kept] : kept_) {
+    if (kept.instance.record() != kept.saved) return true;
+  }
+  return false;
+}
+
+Agent::Answer Agent::Highest(TimePoint now) const {
+  Answer answer;
+  answer.highest = lease_.state().highest;
+  answer.holder = lease_.holder(now);
+  return answer;
+}
+
+bool Agent::SaveLease(const LeaseBook& next, const Plan* opened, const Event& note, Answer& answer) {
+  if (!store_.SaveLease(next.state(), opened, note)) {
+    answer.refused = kNotOnDisk;
+    return false;
+  }
+  lease_ = next;
+  if (opened != nullptr) plans_[opened->id] = *opened;
+  return true;
+}
+
+Agent::Answer Agent::Acquire(Epoch epoch, const Holder& holder, TimePoint now, std::int64_t unix_ms) {
+  LeaseBook next = lease_;
+  Answer answer = Highest(now);
+  answer.verdict = next.Acquire(epoch, holder, now);
+  if (answer.verdict == LeaseBook::Verdict::kOpen) answer.holder = next.state().open;
+  if (answer.verdict != LeaseBook::Verdict::kGranted) return answer;
+  answer.open = next.state().open && next.state().open->change == holder.change;
+  // Asked again, it is not written again.
+  if (next.state() == lease_.state()) return answer;
+  SaveLease(next, nullptr, {unix_ms, holder.change, "claimed by " + holder.who + ": " + holder.why}, answer);
+  return answer;
+}
+
+Agent::Answer Agent::Open(Epoch epoch, const Holder& holder, const Plan& plan, TimePoint now,
+                          std::int64_t unix_ms) {
+  Answer answer = Highest(now);
+  if (plan.id != holder.change) {
+    answer.refused = "the plan is of another change than the lease";
+    return answer;
+  }
+  LeaseBook next = lease_;
+  answer.verdict = next.Open(epoch, holder, now);
+  if (answer.verdict != LeaseBook::Verdict::kGranted) return answer;
+  answer.open = true;
+  if (next.state() == lease_.state() && plans_.contains(plan.id) && plans_.at(plan.id) == plan) {
+    lease_ = next;  // its time was renewed
+    return answer;
+  }
+  SaveLease(next, &plan, {unix_ms, holder.change, "opened by " + holder.who}, answer);
+  return answer;
+}
+
+Agent::Answer Agent::Renew(Epoch epoch, const std::string& tool, TimePoint now) {
+  Answer answer = Highest(now);
+  answer.verdict = lease_.Use(epoch, tool, now);
+  return answer;
+}
+
+Agent::Answer Agent::Release(Epoch epoch, const std::string& tool, bool close, std::int64_t unix_ms) {
+  LeaseBook next = lease_;
+  Answer answer;
+  next.Release(epoch, tool, close);
+  if (next.state() == lease_.state()) return answer;
+  const std::string change = lease_.state().holder ? lease_.state().holder->change : "";
+  SaveLease(next, nullptr, {unix_ms, change, close ? "closed" : "given back"}, answer);
+  return answer;
+}
+
+Agent::Answer Agent::Take(const std::string& instance, const Step& step, Epoch epoch, const std::string& tool,
+                          TimePoint now, std::int64_t unix_ms) {
+  Answer answer = Renew(epoch, tool, now);
+  if (answer.verdict != LeaseBook::Verdict::kGranted) return answer;
+  const auto it = kept_.find(instance);
+  if (it == kept_.end()) {
+    answer.refused = "there is no such instance";
+    return answer;
+  }
+  // The lease is of one change; what comes under it for another is a mistake of whoever sends it.
+  if (!lease_.state().open || lease_.state().open->change != step.change || step.epoch != epoch) {
+    answer.refused = "the step is of a change that is not open here";
+    return answer;
+  }
+  Instance next = it->second.instance;
+  switch (next.Take(step)) {
+    case Instance::Verdict::kTaken:
+      break;
+    case Instance::Verdict::kBusy:
+      answer.refused = "busy with " + next.record().step.token();
+      break;
+    case Instance::Verdict::kMoved:
+      answer.refused = "it has " + next.record().generation + ", not " + step.from;
+      break;
+    case Instance::Verdict::kStale:
+      break;  // the report tells
+  }
+  if (answer.refused.empty() && next.record() != it->second.saved &&
+      next.record().phase == Phase::kAccepted && !machine_.HasGeneration(next.record().generation)) {
+    answer.refused = "it has no configuration " + next.record().generation;
+  }
+  if (answer.refused.empty() && next.record() != it->second.saved) {
+    if (store_.SaveRecord(instance, next.record(),
+                          {unix_ms, step.change, instance + ": taken " + step.token()})) {
+      it->second = Kept{next, next.record()};
+    } else {
+      answer.refused = kNotOnDisk;
+    }
+  }
+  answer.report = ReportOf(instance);
+  return answer;
+}
+
+void Agent::Live(TimePoint now, std::int64_t unix_ms) {
+  for (auto& [name, kept] : kept_) {
+    std::vector<Action> actions;
+    kept.instance.Look(machine_.See(name), now, actions);
+    const InstanceRecord& record = kept.instance.record();
+    if (record != kept.saved) {
+      const std::string end = record.phase == Phase::kFailed ? " failed: " + record.why : " done";
+      if (store_.SaveRecord(name, record, {unix_ms, record.step.change, name + ": " + record.step.token() + end})) {
+        kept.saved = record;
+      }
+    }
+    for (const Action& action : actions) machine_.Do(name, action);
+  }
+}
+
+Report Agent::ReportOf(const std::string& instance) {
+  const Kept& kept = kept_.at(instance);
+  const Seen seen = machine_.See(instance);
+  Report report;
+  report.step = kept.saved.step;
+  report.phase = kept.saved.phase;
+  report.why = kept.saved.why;
+  report.running = seen.running;
+  report.ready = seen.ready && !seen.draining;
+  report.held = kept.instance.held();
+  report.generation = seen.generation;
+  std::tie(report.taken, report.bad) = machine_.Requests(instance);
+  return report;
+}
+
+}  // namespace mothrack::fleet
--- /dev/null
+++ b/fleet/agent.h
@@ -0,0 +1,87 @@
+// An agent's logic: the lease, the instances and their steps of one machine, without sockets, clocks and processes. It
+// answers commands (fleet/agent_api.h carries them over HTTP), looks after its instances, and acts by a Machine. What
+// it says of itself is on disk first; what the disk refuses has not happened.
+//
+// Where the store takes nothing it goes on supervising by what it remembers, and takes no step of any change.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/instance.h"
+#include "fleet/lease.h"
+#include "fleet/store.h"
+#include "fleet/types.h"
+
+namespace mothrack::fleet {
+
+// The processes of a machine, and what they tell of themselves.
+class Machine {
+ public:
+  virtual ~Machine() = default;
+  virtual Seen See(const std::string& instance) = 0;
+  virtual void Do(const std::string& instance, const Action& action) = 0;
+  // Of the process that runs now.
+  virtual std::pair<std::uint64_t, std::uint64_t> Requests(const std::string& instance) = 0;  // taken, bad
+  // Is there such a configuration for it? A step to another is refused.
+  virtual bool HasGeneration(const std::string& generation) const = 0;
+};
+
+class Agent {
+ public:
+  struct Answer {
+    LeaseBook::Verdict verdict = LeaseBook::Verdict::kGranted;
+    std::optional<Holder> holder;  // who is in the way
+    bool open = false;             // the change that was asked for is open here
+    Epoch highest = 0;
+    std::string refused;  // a step, or anything that the disk did not take
+    std::optional<Report> report;
+  };
+
+  // `instances`: those that it looks after, each with the generation that it begins with.
+  Agent(Store& store, Machine& machine, const Stored& stored,
+        const std::map<std::string, std::string>& instances, const InstanceLimits& limits, Duration lease_time,
+        TimePoint now);
+
+  Answer Highest(TimePoint now) const;
+  Answer Acquire(Epoch epoch, const Holder& holder, TimePoint now, std::int64_t unix_ms);
+  Answer Open(Epoch epoch, const Holder& holder, const Plan& plan, TimePoint now, std::int64_t unix_ms);
+  Answer Renew(Epoch epoch, const std::string& tool, TimePoint now);
+  Answer Release(Epoch epoch, const std::string& tool, bool close, std::int64_t unix_ms);
+  Answer Take(const std::string& instance, const Step& step, Epoch epoch, const std::string& tool, TimePoint now,
+              std::int64_t unix_ms);
+
+  // Looks after every instance. Call it at least every Tick, and whenever a process changed.
+  static constexpr Duration kTick{100};
+  void Live(TimePoint now, std::int64_t unix_ms);
+
+  // What has reached the disk of each step, and its process as it is.
+  Report ReportOf(const std::string& instance);
+  std::vector<std::string> Names() const;
+  // That the instance is to run with, by what is on disk.
+  const std::string& GenerationOf(const std::string& instance) const { return kept_.at(instance).saved.generation; }
+  bool WantedOf(const std::string& instance) const { return kept_.at(instance).saved.wanted; }
+  const LeaseState& lease() const { return lease_.state(); }
+  std::optional<Holder> holder(TimePoint now) const { return lease_.holder(now); }
+  const Plan* PlanOf(const std::string& change) const;
+  // A line of an instance's record that Look() changed and the disk has not taken yet.
+  bool behind() const;
+
+ private:
+  struct Kept {
+    Instance instance;
+    InstanceRecord saved;  // on disk
+  };
+
+  bool SaveLease(const LeaseBook& next, const Plan* opened, const Event& note, Answer& answer);
+
+  Store& store_;
+  Machine& machine_;
+  LeaseBook lease_;
+  std::map<std::string, Kept> kept_;
+  std::map<std::string, Plan> plans_;
+};
+
+}  // namespace mothrack::fleet
--- /dev/null
+++ b/fleet/agent_api.h
@@ -0,0 +1,61 @@
+// What an agent answers, as JSON (admin/server.h carries it):
+//
+//   GET  /v1/agent                 viewer    what it is, its lease, its instances
+//   GET  /v1/history?MOST          viewer    what happened, the latest last
+//   GET  /v1/plan?CHANGE           viewer    the plan of a change that was opened here
+//   GET  /v1/generation?NAME       viewer    the files of a generation that is kept
+//   GET  /v1/log?INSTANCE          viewer    the end of an instance's log
+//   POST /v1/lease                 operator  {"ask": "acquire", "open", "renew" or "release", "epoch", ...}
+//   POST /v1/report                operator  {"epoch", "tool"}: renews the lease and reports all instances
+//   POST /v1/take                  operator  {"epoch", "tool", "instance", "step"}
+//   POST /v1/generation            operator  {"name", "files": {name: text}}
+//
+// On a Unix socket whoever may open it is an operator. Refused commands are logged. More than kPerSecond answers a
+// second are refused with 429 unlooked at.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include "admin/server.h"
+#include "core/log.h"
+#include "fleet/agent.h"
+#include "fleet/agent_file.h"
+
+namespace mothrack::fleet {
+
+class AgentApi {
+ public:
+  // Listens at once; throws std::runtime_error where it can't.
+  AgentApi(boost::asio::io_context& io, const AgentFile& file, Agent& agent, Processes& processes, Store& store,
+           Logger& log);
+
+  std::string local() const { return server_.local(); }
+
+  static constexpr double kPerSecond = 200;
+  static constexpr std::size_t kConnections = 32;
+  static constexpr std::size_t kMostBody = 1024 * 1024;  // bytes
+
+ private:
+  std::vector<admin::Route> Routes();
+  std::optional<admin::Answer> Guard(const admin::Call& call);
+  bool MayAnswer();
+  nlohmann::json About() const;
+  admin::Answer Lease(const nlohmann::json& asked);
+
+  const AgentFile& file_;
+  Agent& agent_;
+  Processes& processes_;
+  Store& store_;
+  Logger& log_;
+  double allowed_ = kPerSecond;
+  mothrack::TimePoint refilled_;
+  admin::Server server_;  // last: it calls the rest
+};
+
+// Of the steady clock, and of the wall.
+TimePoint SteadyNow();
+std::int64_t UnixNow();
+
+}  // namespace mothrack::fleet
--- a/fleet/change.cpp
+++ b/fleet/change.cpp
@@ -6,8 +6,12 @@
 namespace mothrack::fleet {
 namespace {
 
-// A question or command without an answer is repeated.
+// A command without an answer is repeated.
 constexpr Duration kAskAgain{500};
+// News of an instance is asked for so often: a batch waits for news three times (its steps' end, the watch's end, the
+// others' being well), and a rolling change is as slow as the sum of those. One report of an agent answers for all of
+// its instances.
+constexpr Duration kNewsEvery{150};
 // The lease is confirmed so often within its time.
 constexpr int kRenewals = 6;
 
@@ -99,7 +103,7 @@
   }
   for (std::size_t i = 0; i < progress_.size(); ++i) {
     const auto& asked = progress_[i].asked;
-    if (!asked || now - *asked >= kAskAgain) Question(ChangeCommand::Kind::kReport, i, now, commands);
+    if (!asked || now - *asked >= kNewsEvery) Question(ChangeCommand::Kind::kReport, i, now, commands);
   }
 }
 
@@ -162,7 +166,7 @@
   batches_.erase(batches_.begin() + static_cast<std::ptrdiff_t>(batch_));
   batches_.push_back(current);
   std::reverse(batches_.begin(), batches_.end());
-  for (Progress& progress : progress_) progress.before.reset(), progress.done.reset();
+  for (Progress& progress : progress_) progress.before.reset(), progress.done.reset(), progress.commanded.reset();
   Enter(0, now);
 }
 
@@ -235,7 +239,8 @@
   for (const std::size_t i : batch) {
     Progress& progress = progress_[i];
     if (!Taken(i)) {
-      if (!progress.sent || *progress.asked == now || now - *progress.asked >= kAskAgain) {
+      if (!progress.commanded || now - *progress.commanded >= kAskAgain) {
+        progress.commanded = now;
         Question(ChangeCommand::Kind::kTake, i, now, commands);
       }
       all_done = false;
--- /dev/null
+++ b/fleet/driver.cpp
@@ -0,0 +1,250 @@
+#include "fleet/driver.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "fleet/agent_api.h"
+#include "fleet/wire.h"
+
+namespace mothrack::fleet {
+namespace {
+
+using nlohmann::json;
+
+// An answer of an agent to a lease's question; nothing where it gave none that can be read.
+struct Read {
+  LeaseBook::Verdict verdict = LeaseBook::Verdict::kFenced;
+  std::optional<Holder> holder;
+  std::string refused;
+  bool open = false;
+  Epoch highest = 0;
+};
+
+std::optional<Read> ReadAnswer(const Reply& reply) {
+  if (!reply.ok()) return std::nullopt;
+  try {
+    Read read;
+    read.verdict = VerdictFrom(Member<std::string>(reply.body, "verdict"));
+    read.refused = Member<std::string>(reply.body, "refused");
+    read.open = Member<bool>(reply.body, "open");
+    read.highest = Member<std::uint64_t>(reply.body, "highest");
+    if (reply.body.contains("holder")) read.holder = HolderFrom(reply.body["holder"]);
+    return read;
+  } catch (const std::invalid_argument&) {
+    return std::nullopt;
+  }
+}
+
+std::string RandomText() {
+  std::random_device random;
+  return std::to_string(std::uint64_t{random()} << 32 | random());
+}
+
+}  // namespace
+
+Driver::Driver(boost::asio::io_context& io, std::vector<AgentPlace> agents,
+               std::function<void(const std::string&)> say)
+    : io_(io), agents_(std::move(agents)), say_(std::move(say)) {}
+
+const AgentPlace& Driver::Of(const std::string& agent) const {
+  return *std::find_if(agents_.begin(), agents_.end(), [&](const AgentPlace& a) { return a.name == agent; });
+}
+
+void Driver::Pass(Duration time) {
+  io_.restart();
+  io_.run_for(time);
+}
+
+void Driver::Send(const std::string& agent, const std::string& target, json body,
+                  std::function<void(const Reply&)> hear) {
+  const AgentPlace& place = Of(agent);
+  Ask(io_, {place.place, place.token, "POST", target, std::move(body)}, kPatience,
+      [this, agent, life = std::weak_ptr(life_), hear = std::move(hear)](const Reply& reply) {
+        if (life.expired()) return;
+        try {
+          hear(reply);
+        } catch (const std::invalid_argument& e) {
+          say_(agent + ": its answer can't be read: " + e.what());  // as if none had come
+        }
+      });
+}
+
+std::map<std::string, Reply> Driver::AskAll(const std::string& method, const std::string& target,
+                                            const std::optional<json>& body, const std::set<std::string>& only) {
+  // Filled by answers that come after this has returned, too: it lives as long as they may.
+  const auto replies = std::make_shared<std::map<std::string, Reply>>();
+  std::size_t asked = 0;
+  for (const AgentPlace& agent : agents_) {
+    if (!only.empty() && !only.contains(agent.name)) continue;
+    ++asked;
+    Ask(io_, {agent.place, agent.token, method, target, body}, kPatience,
+        [replies, name = agent.name](Reply reply) { (*replies)[name] = std::move(reply); });
+  }
+  while (replies->size() < asked) Pass(Duration(20));
+  return *replies;
+}
+
+Holder Driver::HolderOf(const Plan& plan, const std::string& who) {
+  char host[64] = "";
+  ::gethostname(host, sizeof host - 1);
+  const std::string tool =
+      std::string(host) + '.' + std::to_string(::getpid()) + '.' + RandomText() + '.' + std::to_string(++claims_);
+  return {plan.id, who, plan.why, UnixNow(), tool};
+}
+
+Driver::Lease Driver::ClaimAll(const Plan& plan, const Holder& holder, bool resumes) {
+  std::set<std::string> names;
+  for (const AgentPlace& agent : agents_) names.insert(agent.name);
+  std::set<std::string> needed;
+  for (const Target& target : plan.targets) needed.insert(target.name.agent);
+  life_ = std::make_shared<int>();
+  Claim claim(holder.tool, names, needed, resumes, kPatience, SteadyNow());
+  Lease lease;
+  std::string fault;  // of an agent, that is no verdict
+  while (!claim.granted() && claim.refused().empty() && !interrupted_ && fault.empty()) {
+    std::vector<ClaimCommand> commands;
+    claim.Turn(SteadyNow(), commands);
+    for (const ClaimCommand& c : commands) {
+      switch (c.kind) {
+        case ClaimCommand::Kind::kLook:
+          Ask(io_, {Of(c.agent).place, Of(c.agent).token, "GET", "/v1/agent", {}}, kPatience,
+              [&claim, &fault, life = std::weak_ptr(life_), name = c.agent](const Reply& reply) {
+                if (life.expired()) return;
+                if (reply.ok()) return claim.Looked(name, reply.body.value("highest", Epoch{0}));
+                if (reply.fault.empty()) fault = name + ": " + reply.why();
+              });
+          break;
+        case ClaimCommand::Kind::kAcquire:
+        case ClaimCommand::Kind::kOpen: {
+          const bool opens = c.kind == ClaimCommand::Kind::kOpen;
+          json body = {{"ask", opens ? "open" : "acquire"}, {"epoch", c.epoch}, {"holder", ToJson(holder)}};
+          if (opens) body["plan"] = ToJson(plan);
+          Send(c.agent, "/v1/lease", std::move(body), [&claim, &fault, c, tool = holder.tool](const Reply& reply) {
+            const auto read = ReadAnswer(reply);
+            if (!read && reply.fault.empty()) fault = c.agent + ": " + reply.why();
+            if (!read) return;  // without an answer it is asked again
+            if (!read->refused.empty()) fault = c.agent + ": " + read->refused;
+            if (read->refused.empty()) claim.Answered(tool, c.agent, c.epoch, read->verdict, read->holder, read->open);
+          });
+          break;
+        }
+        case ClaimCommand::Kind::kRelease:
+          Send(c.agent, "/v1/lease",
+               {{"ask", "release"}, {"epoch", c.epoch}, {"tool", holder.tool}, {"close", false}}, [](const Reply&) {});
+          break;
+      }
+      lease.epoch = std::max(lease.epoch, c.epoch);
+    }
+    Pass(Duration(20));
+  }
+  life_ = std::make_shared<int>();  // `claim` and `fault` go
+  if (claim.granted()) return {claim.granted()->epoch, claim.granted()->since, {}};
+  lease.refused = !fault.empty() ? fault : interrupted_ ? "interrupted" : claim.refused();
+  // What was got on the way is given back, wherever the claim itself did not come to that.
+  if (lease.epoch > 0) Release(lease.epoch, holder.tool, false);
+  return lease;
+}
+
+void Driver::Run(Change& change, Epoch epoch, const std::string& tool) {
+  while (!change.end() && !interrupted_) {
+    std::vector<ChangeCommand> commands;
+    const TimePoint now = SteadyNow();
+    change.Turn(now, commands);
+    // One report of an agent answers for all of its instances, and renews its lease.
+    std::map<std::string, std::vector<std::pair<InstanceName, std::uint64_t>>> reports;
+    for (const ChangeCommand& c : commands) {
+      switch (c.kind) {
+        case ChangeCommand::Kind::kSay:
+          say_(c.line);
+          break;
+        case ChangeCommand::Kind::kRenew:
+          reports[c.name.agent];
+          break;
+        case ChangeCommand::Kind::kReport:
+          reports[c.name.agent].emplace_back(c.name, c.number);
+          break;
+        case ChangeCommand::Kind::kTake:
+          Send(c.name.agent, "/v1/take",
+               {{"epoch", epoch}, {"tool", tool}, {"instance", c.name.instance}, {"step", ToJson(c.step)}},
+               [&change, c, now](const Reply& reply) {
+                 const auto read = ReadAnswer(reply);
+                 if (!read) return;
+                 if (read->verdict != LeaseBook::Verdict::kGranted) {
+                   return change.Fenced(c.name.agent, read->holder ? read->holder->who : "");
+                 }
+                 change.Renewed(c.name.agent, now);
+                 if (!read->refused.empty()) return change.Refused(c.name, read->refused);
+                 if (reply.body.contains("report")) {
+                   change.Heard(c.name, c.number, ReportFrom(reply.body["report"]), now);
+                 }
+               });
+          break;
+      }
+    }
+    for (const auto& [agent, asked] : reports) {
+      Send(agent, "/v1/report", {{"epoch", epoch}, {"tool", tool}},
+           [&change, agent = agent, asked = asked, now](const Reply& reply) {
+             const auto read = ReadAnswer(reply);
+             if (!read) return;
+             if (read->verdict != LeaseBook::Verdict::kGranted) {
+               return change.Fenced(agent, read->holder ? read->holder->who : "");
+             }
+             change.Renewed(agent, now);
+             for (const auto& [name, number] : asked) {
+               const json& told = reply.body.value("reports", json::object());
+               if (told.contains(name.instance)) change.Heard(name, number, ReportFrom(told[name.instance]), now);
+               else change.Refused(name, "its agent has no such instance");
+             }
+           });
+    }
+    if (!change.end()) Pass(Duration(50));
+  }
+  life_ = std::make_shared<int>();
+}
+
+std::set<std::string> Driver::Release(Epoch epoch, const std::string& tool, bool close) {
+  constexpr int kTries = 3;
+  std::set<std::string> missing;
+  for (const AgentPlace& agent : agents_) missing.insert(agent.name);
+  for (int i = 0; i < kTries && !missing.empty(); ++i) {
+    const json body = {{"ask", "release"}, {"epoch", epoch}, {"tool", tool}, {"close", close}};
+    for (const auto& [name, reply] : AskAll("POST", "/v1/lease", body, missing)) {
+      if (reply.ok()) missing.erase(name);
+    }
+  }
+  return missing;
+}
+
+Driver::Outcome Driver::Carry(const Plan& plan, Change::Aim aim, bool resumes, const std::string& who,
+                              Duration lease_time) {
+  const Holder holder = HolderOf(plan, who);
+  const Lease lease = ClaimAll(plan, holder, resumes);
+  Outcome outcome;
+  outcome.refused = lease.refused;
+  if (!outcome.refused.empty()) return outcome;
+  Change change(plan, aim, lease.epoch, lease_time, lease.since);
+  Run(change, lease.epoch, holder.tool);
+  outcome.end = change.end().value_or(ChangeEnd::kHeld);
+  outcome.why = change.end() ? change.why() : "interrupted; what was taken is finished by the agents";
+  if (!change.end()) say_(plan.id + " held: " + outcome.why);
+  const bool close = outcome.end != ChangeEnd::kHeld;
+  const auto missing = Release(lease.epoch, holder.tool, close);
+  if (close) outcome.left_open = missing;
+  return outcome;
+}
+
+Driver::Outcome Driver::Close(const Plan& plan, const std::string& who) {
+  const Holder holder = HolderOf(plan, who);
+  const Lease lease = ClaimAll(plan, holder, true);
+  Outcome outcome;
+  outcome.refused = lease.refused;
+  if (!outcome.refused.empty()) return outcome;
+  outcome.end = ChangeEnd::kAborted;
+  outcome.left_open = Release(lease.epoch, holder.tool, true);
+  return outcome;
+}
+
+}  // namespace mothrack::fleet
--- /dev/null
+++ b/fleet/wire.h
@@ -0,0 +1,39 @@
+// The fleet's values as JSON: on disk, and between agents and tools. Reading throws std::invalid_argument, which names
+// what is missing or wrong; what is unknown is skipped, so that a newer tool and an older agent understand each other.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "fleet/instance.h"
+#include "fleet/lease.h"
+#include "fleet/plan.h"
+#include "fleet/types.h"
+
+namespace mothrack::fleet {
+
+nlohmann::json ToJson(const Holder& holder);
+nlohmann::json ToJson(const Step& step);
+nlohmann::json ToJson(const Plan& plan);
+nlohmann::json ToJson(const Report& report);
+nlohmann::json ToJson(const InstanceRecord& record);
+
+Holder HolderFrom(const nlohmann::json& json);
+Step StepFrom(const nlohmann::json& json);
+Plan PlanFrom(const nlohmann::json& json);
+Report ReportFrom(const nlohmann::json& json);
+InstanceRecord RecordFrom(const nlohmann::json& json);
+
+std::string Name(Phase phase);
+std::string Name(LeaseBook::Verdict verdict);
+LeaseBook::Verdict VerdictFrom(const std::string& name);
+
+// A required member of the right kind.
+template <typename T>
+T Member(const nlohmann::json& json, const char* name);
+
+// Names of instances, agents and generations become parts of paths: letters, digits, '-', '_' and '.', at most 64, no
+// dot first.
+bool GoodName(const std::string& name);
+
+}  // namespace mothrack::fleet
