--- a/fleet/agent_api.cpp
+++ b/fleet/agent_api.cpp
@@ -180,6 +180,7 @@
                agent_.Take(name, StepFrom(Member<json>(asked, "step")), Member<std::uint64_t>(asked, "epoch"),
                            Member<std::string>(asked, "tool"), SteadyNow(), UnixNow());
            if (!answer.refused.empty()) log_.Line("agent: refused a step of " + name.substr(0, 64) + ": " + answer.refused);
+           if (on_taken_) on_taken_();
            return Answer{200, ToAnswer(answer)};
          });
        }},
--- a/fleet/agent_api.h
+++ b/fleet/agent_api.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
            Logger& log);
 
   std::string local() const { return server_.local(); }
+  // Called when a step was taken: Agent::Live() is due.
+  void OnTaken(std::function<void()> on_taken) { on_taken_ = std::move(on_taken); }
 
   static constexpr double kPerSecond = 200;
   static constexpr std::size_t kConnections = 32;
@@ -49,6 +52,7 @@
   Processes& processes_;
   Store& store_;
   Logger& log_;
+  std::function<void()> on_taken_;
   double allowed_ = kPerSecond;
   mothrack::TimePoint refilled_;
   admin::Server server_;  // last: it calls the rest
--- a/fleet/agent_main.cpp
+++ b/fleet/agent_main.cpp
@@ -5,6 +5,7 @@
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
@@ -52,6 +53,9 @@
   }
 }
 
+// While a door is awaited.
+constexpr Duration kSoon{20};
+
 int Run(const std::string& path) {
   std::signal(SIGPIPE, SIG_IGN);
   const AgentFile file = LoadAgentFile(path);
@@ -72,11 +76,14 @@
   const std::function<void()> live = [&] {
     processes.Look(SteadyNow());
     agent.Live(SteadyNow(), UnixNow());
-    tick.expires_after(Agent::kTick);
+    tick.expires_after(processes.awaited() ? kSoon : Agent::kTick);
     tick.async_wait([&](const boost::system::error_code& error) {
       if (!error) live();
     });
   };
+  // At the next turn of the event loop: what tells may be in the midst of its work.
+  processes.OnNews([&] { boost::asio::post(io, live); });
+  api.OnTaken([&] { boost::asio::post(io, live); });
   live();
   // Its instances run on: a later agent adopts them.
   boost::asio::signal_set stop(io, SIGTERM, SIGINT);
--- a/fleet/change.cpp
+++ b/fleet/change.cpp
@@ -10,8 +10,8 @@
 constexpr Duration kAskAgain{500};
 // News of an instance is asked for so often: a batch waits for news three times (its steps' end, the watch's end, the
 // others' being well), and a rolling change is as slow as the sum of those. One report of an agent answers for all of
-// its instances.
-constexpr Duration kNewsEvery{150};
+// its instances, so this is 16 answers a second of each agent that the change touches.
+constexpr Duration kNewsEvery{60};
 // The lease is confirmed so often within its time.
 constexpr int kRenewals = 6;
 
@@ -175,6 +175,8 @@
   entered_ = now;
   began_.reset();
   well_since_.reset();
+  // It begins by news from after the one before.
+  for (Progress& progress : progress_) progress.asked.reset();
 }
 
 std::string Change::Against(const std::vector<std::size_t>& batch) const {
--- a/fleet/driver.cpp
+++ b/fleet/driver.cpp
@@ -55,7 +55,8 @@
 
 void Driver::Pass(Duration time) {
   io_.restart();
-  io_.run_for(time);
+  // Whatever came is acted on at once; the time is for when nothing comes.
+  if (io_.run_one_for(time) > 0) io_.poll();
 }
 
 void Driver::Send(const std::string& agent, const std::string& target, json body,
@@ -200,7 +201,7 @@
              }
            });
     }
-    if (!change.end()) Pass(Duration(50));
+    if (!change.end()) Pass(Duration(20));
   }
   life_ = std::make_shared<int>();
 }
--- a/fleet/processes.cpp
+++ b/fleet/processes.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <boost/asio/posix/stream_descriptor.hpp>
 #include <cerrno>
 #include <chrono>
 #include <cstring>
@@ -142,6 +143,7 @@
   bool draining = false;
   std::uint64_t taken = 0;
   std::uint64_t bad = 0;
+  std::unique_ptr<boost::asio::posix::stream_descriptor> end;  // tells of its end
   bool asking = false;
   bool awaited = true;  // something is: the door is asked more often
   TimePoint ask_at{};
@@ -152,6 +154,7 @@
     return {{"instance", spec.name}, {"directory", directory}, {"generation", files}};
   }
   void Forget() {
+    end.reset();
     pid = 0;
     alive.Close();
     token.clear();
@@ -206,6 +209,18 @@
   }
 }
 
+// Of the process that is held now.
+void Processes::Watch(const std::shared_ptr<Held>& held) {
+  const int copy = ::fcntl(held->alive.get(), F_DUPFD_CLOEXEC, 0);
+  if (copy < 0) return;  // the tick finds its end, later
+  held->end = std::make_unique<boost::asio::posix::stream_descriptor>(io_, copy);
+  held->end->async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                        [this, weak = std::weak_ptr(held), pid = held->pid](const boost::system::error_code& error) {
+                          const auto held = weak.lock();
+                          if (!error && held && held->pid == pid) News();
+                        });
+}
+
 void Processes::Look(TimePoint now) {
   constexpr Duration kLogEvery{1000};
   for (const auto& [name, held] : held_) {
@@ -223,6 +238,7 @@
     } else {
       Adopt(*held);
     }
+    if (held->pid != 0 && !held->end) Watch(held);
     if (held->pid != 0 && !held->asking && now >= held->ask_at) AskDoor(held, now);
     if (now >= held->log_at) {
       held->log_at = now + kLogEvery;
@@ -237,10 +253,15 @@
   const std::string place = Replaced(held->spec.door, held->words(""));
   // Behind all upstreams: their list is not wanted here.
   Ask(io_, {place, {}, "GET", "/v1/status?after=~", {}}, limits_.door_patience,
-      [held, pid = held->pid](const Reply& reply) {
+      [this, weak = std::weak_ptr(held), pid = held->pid](const Reply& reply) {
+        const auto held = weak.lock();
+        if (!held) return;
         held->asking = false;
         if (held->pid != pid || pid == 0) return;
-        held->ready = held->draining = false;
+        const bool was_ready = std::exchange(held->ready, false);
+        held->draining = false;
+        // Not there yet: that costs the sidecar nothing, so it is tried again soon.
+        if (!reply.fault.empty() && held->awaited) held->ask_at -= limits_.door_busy - limits_.door_absent;
         if (!reply.ok() || !reply.body.is_object()) return;
         const json& body = reply.body;
         // A sidecar that was started beside it, or before, is another one.
@@ -258,6 +279,7 @@
         }
         held->taken = taken;
         held->bad = bad;
+        if (held->ready != was_ready) News();
       });
 }
 
@@ -485,6 +507,13 @@
   return text.size() > bytes ? text.substr(text.size() - bytes) : text;
 }
 
+bool Processes::awaited() const {
+  for (const auto& [name, held] : held_) {
+    if (held->pid != 0 && held->awaited) return true;
+  }
+  return false;
+}
+
 int Processes::pid(const std::string& instance) const { return held_.at(instance)->pid; }
 
 }  // namespace mothrack::fleet
--- a/fleet/processes.h
+++ b/fleet/processes.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -38,7 +39,8 @@
     std::uint64_t log_bytes = 8 * 1024 * 1024;  // then the log is moved aside, and the one moved before is gone
     Duration door_patience{1000};
     Duration door_idle{1000};   // between two questions to a door
-    Duration door_busy{200};    // the same while something is awaited of it
+    Duration door_absent{20};   // the same while it is awaited and not there
+    Duration door_busy{60};     // the same while something is awaited of it; the door answers 20 times a second
   };
 
   // Adopts what runs. Throws std::runtime_error where the directory can't be used.
@@ -49,6 +51,10 @@
   Processes(const Processes&) = delete;
   Processes& operator=(const Processes&) = delete;
 
+  // Called from the event loop when a process has ended or its door said something new: Look() and Agent::Live() are
+  // due. Between such calls a tick is enough.
+  void OnNews(std::function<void()> on_news) { on_news_ = std::move(on_news); }
+
   // Looks for what has ended, asks the doors, moves logs aside. Call it before Agent::Live().
   void Look(TimePoint now);
 
@@ -66,6 +72,8 @@
   // Of an instance's log, the last bytes.
   std::string LogTail(const std::string& instance, std::size_t bytes) const;
   int pid(const std::string& instance) const;
+  // Is something of a door awaited?
+  bool awaited() const;
 
   static constexpr std::size_t kMostGenerations = 32;
   static constexpr std::size_t kMostFiles = 32;
@@ -76,6 +84,10 @@
 
   Held& Of(const std::string& instance);
   void Adopt(Held& held);
+  void Watch(const std::shared_ptr<Held>& held);
+  void News() const {
+    if (on_news_) on_news_();
+  }
   void Start(Held& held, const Action& action);
   void AskDoor(const std::shared_ptr<Held>& held, TimePoint now);
   void BoundLog(const Held& held) const;
@@ -88,6 +100,7 @@
   const Limits limits_;
   Logger& log_;
   std::map<std::string, std::shared_ptr<Held>> held_;
+  std::function<void()> on_news_;
 };
 
 }  // namespace mothrack::fleet
--- a/tests/standins/fleet.h
+++ b/tests/standins/fleet.h
@@ -51,6 +51,7 @@
   std::string path(const std::string& name) const { return directory_ + '/' + name; }
   std::string DirectoryOf(int agent, int instance) const;
   std::string AgentLog(int agent) const;
+  pid_t AgentPid(int agent) const { return agents_.at(agent); }
   int StartAgentAgain(int agent);  // beside the one that runs; its exit code
 
  private:
