Changes: the model plays the agent itself, killed at each crash point in turn

Need: the model had a copy of the agent's logic, so a fault in fleet/agent.cpp could pass all histories; and deaths were drawn, not enumerated.

Change: the model's machines are a Store and a Machine under fleet::Agent. A death is an exception through the agent's own code, before or after a durable step or an action. Three new suites kill agents at every one of these places, at pairs of them, and the tool after every command; a second operator resumes or undoes.

--- a/tests/changes_model.cpp
+++ b/tests/changes_model.cpp
@@ -7,13 +7,16 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
+#include "fleet/agent.h"
 #include "fleet/change.h"
 #include "fleet/claim.h"
 #include "fleet/instance.h"
 #include "fleet/lease.h"
 #include "fleet/plan.h"
+#include "fleet/store.h"
 
 namespace mothrack::fleet::testing {
 namespace {
@@ -56,22 +59,23 @@
   int stops = 0;
 };
 
-struct Agent {
+// Thrown through the agent's own code: it dies there.
+struct Died {};
+
+// A machine with its disk and processes, which outlive the agent on it.
+struct Host {
   std::string name;
   std::string hall;
   bool up = true;
   TimePoint back_at;
   bool disk_full = false;
-  // On disk.
-  LeaseState lease_on_disk;
-  std::map<std::string, InstanceRecord> records;
-  std::map<std::string, Plan> plans;
-  // In memory.
-  std::optional<LeaseBook> lease;
-  std::map<std::string, Instance> instances;
-  // The machine's.
+  Stored disk;
   std::map<std::string, Process> processes;
   bool cut_off = false;
+  // Of the agent's life.
+  std::unique_ptr<Store> store;
+  std::unique_ptr<Machine> machine;
+  std::unique_ptr<Agent> agent;
 };
 
 // An operator at a tool.
@@ -89,27 +93,39 @@
   int held_in_calm = 0;
 };
 
+class Disk;
+class Box;
+
 class World {
  public:
-  explicit World(std::uint64_t seed) : random_(seed) {
+  explicit World(std::uint64_t seed, const Script* script = nullptr) : random_(seed), script_(script) {
     for (int a = 0; a < kAgents; ++a) {
-      Agent agent;
-      agent.name = "a" + std::to_string(a);
-      agent.hall = a < kAgents / 2 ? "bole" : "kality";
+      Host host;
+      host.name = "a" + std::to_string(a);
+      host.hall = a < kAgents / 2 ? "bole" : "kality";
       for (int i = 0; i < kInstances; ++i) {
         const std::string name = "i" + std::to_string(i);
-        agent.records[name].generation = "g0";
-        agent.processes[name] = {"", "g0", TimePoint{}, {}, false, false, 0};
+        host.disk.records[name].generation = "g0";
+        host.processes[name] = {"", "g0", TimePoint{}, {}, false, false, 0};
+      }
+      hosts_.push_back(std::move(host));
+    }
+    for (Host& host : hosts_) Boot(host);
+    if (script_ != nullptr) {
+      trouble_ = 0;
+      for (int i = 0; i < 2; ++i) {
+        tools_.emplace_back();
+        tools_.back().who = "operator " + std::to_string(i);
+        tools_.back().next = TimePoint(milliseconds(i == 0 ? 100 : 500));
       }
-      agents_.push_back(std::move(agent));
+      return;
     }
-    for (Agent& agent : agents_) Boot(agent);
     constexpr double kTroubles[] = {0.1, 0.4, 1, 2.5};
     trouble_ = kTroubles[Upto(3)];
     // A generation that is bad everywhere, or on some machines only.
     if (Chance(0.35)) {
-      for (const Agent& agent : agents_) {
-        if (Chance(0.5)) bad_at_.insert(agent.name);
+      for (const Host& host : hosts_) {
+        if (Chance(0.5)) bad_at_.insert(host.name);
       }
       dies_at_once_ = Chance(0.5);
     }
@@ -128,7 +144,7 @@
       if (calm && !calm_) Calm();
       if (!calm) Fail();
       Deliver();
-      for (Agent& agent : agents_) Live(agent);
+      for (Host& host : hosts_) Live(host);
       for (Tool& tool : tools_) Use(tool);
       CheckHalls();
     }
@@ -148,12 +164,12 @@
 
   std::string Told() const {
     std::string text;
-    for (const Agent& agent : agents_) {
-      for (const auto& [name, record] : agent.records) {
-        const auto p = agent.processes.find(name);
-        text += agent.name + '/' + name + '=' + record.generation + ':' + record.step.token() + ':' +
+    for (const Host& host : hosts_) {
+      for (const auto& [name, record] : host.disk.records) {
+        const auto p = host.processes.find(name);
+        text += host.name + '/' + name + '=' + record.generation + ':' + record.step.token() + ':' +
                 std::to_string(static_cast<int>(record.phase)) +
-                (p == agent.processes.end() ? " down; " : "; ");
+                (p == host.processes.end() ? " down; " : "; ");
       }
     }
     for (const Tool& tool : tools_) {
@@ -169,65 +185,89 @@
   // ---- Faults ----
 
   void Fail() {
-    for (Agent& agent : agents_) {
-      if (agent.up && Chance(0.0008 * trouble_)) Kill(agent);
-      if (Chance(agent.cut_off ? 0.02 : 0.0008 * trouble_)) agent.cut_off = !agent.cut_off;
-      if (Chance(agent.disk_full ? 0.02 : 0.0008 * trouble_)) agent.disk_full = !agent.disk_full;
-      for (auto& [name, process] : agent.processes) {
+    for (Host& host : hosts_) {
+      if (host.up && Chance(0.0008 * trouble_)) Kill(host);
+      if (Chance(host.cut_off ? 0.02 : 0.0008 * trouble_)) host.cut_off = !host.cut_off;
+      if (Chance(host.disk_full ? 0.02 : 0.0008 * trouble_)) host.disk_full = !host.disk_full;
+      for (auto& [name, process] : host.processes) {
         if (Chance(0.0002 * trouble_)) process.ends_at = now_;  // killed outside
         if (Chance(0.0003 * trouble_)) process.deaf = true;
       }
     }
     for (Tool& tool : tools_) {
-      if (tool.up && Chance(0.0008 * trouble_)) {
-        tool.up = false;
-        ++tool.life;
-        ++history_.tool_deaths;
-        tool.claim.reset();
-        tool.change.reset();
-        tool.next = now_ + milliseconds(Upto(15'000));
-      }
+      if (tool.up && Chance(0.0008 * trouble_)) KillTool(tool);
     }
   }
 
+  void KillTool(Tool& tool) {
+    tool.up = false;
+    ++tool.life;
+    ++history_.tool_deaths;
+    tool.claim.reset();
+    tool.change.reset();
+    tool.next = now_ + milliseconds(Upto(15'000));
+  }
+
   // No further fault: the agents come back, and one operator sets about finishing what there is.
   void Calm() {
     calm_ = true;
-    for (Agent& agent : agents_) {
-      agent.cut_off = agent.disk_full = false;
-      if (!agent.up) agent.back_at = now_;
+    for (Host& host : hosts_) {
+      host.cut_off = host.disk_full = false;
+      if (!host.up) host.back_at = now_;
     }
   }
 
-  void Kill(Agent& agent) {
+  void Kill(Host& host) {
     ++history_.agent_deaths;
-    agent.up = false;
-    agent.back_at = now_ + milliseconds(Upto(8000));
-    agent.lease.reset();
-    agent.instances.clear();
+    host.up = false;
+    host.back_at = now_ + milliseconds(Upto(8000));
+    host.agent.reset();
   }
 
-  void Boot(Agent& agent) {
-    agent.up = true;
-    agent.lease.emplace(agent.lease_on_disk, kLeaseTime, now_);
-    for (const auto& [name, record] : agent.records)
-      agent.instances.emplace(name, Instance(record, Limits()));
+  void Boot(Host& host);
+
+  // An agent dies here where the seed or the script says so: at each of its durable steps and of its actions, just
+  // before it, or just after it and before what follows from it.
+  void Point(bool after) {
+    if (script_ != nullptr) {
+      const int point = history_.points++;
+      for (const int at : script_->agent_dies_at) {
+        if (at == point) throw Died();
+      }
+    } else if (!calm_ && (!after || saving_) && Chance(0.01 * trouble_)) {
+      throw Died();
+    }
   }
 
-  // The agent may die at each durable step: just before it, or just after it and before what follows from it.
-  bool Save(Agent& agent, const std::function<void()>& write) {
-    if (!calm_ && Chance(0.01 * trouble_)) return Kill(agent), false;
-    if (agent.disk_full) return ++history_.saves_failed, false;
+  bool Save(Host& host, const std::function<void()>& write) {
+    saving_ = true;
+    Point(false);
+    if (host.disk_full) return saving_ = false, ++history_.saves_failed, false;
     write();
-    if (!calm_ && Chance(0.01 * trouble_)) return Kill(agent), false;
-    return true;
+    Point(true);
+    return saving_ = false, true;
   }
 
+  // Calls the agent; nothing where it died of it.
+  template <typename F>
+  auto Call(Host& host, F call) -> std::optional<decltype(call(*host.agent))> {
+    try {
+      return call(*host.agent);
+    } catch (const Died&) {
+      saving_ = false;
+      Kill(host);
+      return std::nullopt;
+    }
+  }
+
+  friend class Disk;
+  friend class Box;
+
   // ---- Messages ----
 
   // `late`: how likely it is to come long after it was sent.
-  void Send(const Agent& agent, std::function<void()> arrive, double late = 0.02) {
-    if (agent.cut_off) return;
+  void Send(const Host& host, std::function<void()> arrive, double late = 0.02) {
+    if (host.cut_off) return;
     if (!calm_ && Chance(0.05 * trouble_)) return;
     for (int copies = !calm_ && Chance(0.05 * trouble_) ? 2 : 1; copies > 0; --copies) {
       int delay = Upto(150);
@@ -247,156 +287,79 @@
   // Calls `serve` at the agent and, with what it gives, `hear` at the tool, if that still lives.
   template <typename Serve, typename Hear>
   void Ask(Tool& tool, const std::string& name, Serve serve, Hear hear, double late = 0.02) {
-    Agent& agent =
-        *std::find_if(agents_.begin(), agents_.end(), [&](const Agent& a) { return a.name == name; });
-    const auto arrive = [this, &tool, &agent, life = tool.life, serve, hear] {
-      if (!agent.up) return;
-      const auto answer = serve(agent);
+    Host& host = Of(name);
+    if (script_ != nullptr && tool.who == tools_.front().who && history_.commands++ == script_->tool_dies_at) {
+      tool_dies_ = true;
+    }
+    const auto arrive = [this, &tool, &host, life = tool.life, serve, hear] {
+      if (!host.up) return;
+      const auto answer = Call(host, serve);
       if (!answer) return;
-      Send(agent, [&tool, life, hear, answer] {
+      Send(host, [&tool, life, hear, answer] {
         if (tool.up && tool.life == life) hear(*answer);
       });
     };
-    Send(agent, arrive, late);
+    Send(host, arrive, late);
   }
 
   // ---- An agent ----
 
-  void Live(Agent& agent) {
-    for (auto it = agent.processes.begin(); it != agent.processes.end();) {
-      it = it->second.ends_at && now_ >= *it->second.ends_at ? agent.processes.erase(it) : std::next(it);
-    }
-    if (!agent.up) {
-      if (now_ >= agent.back_at) Boot(agent);
-      return;
-    }
-    for (auto& [name, instance] : agent.instances) {
-      std::vector<Action> actions;
-      instance.Look(See(agent, name), now_, actions);
-      if (instance.record() != agent.records.at(name)) {
-        Save(agent,
-             [&agent, &name = name, &instance = instance] { agent.records[name] = instance.record(); });
-        if (!agent.up) return;  // `instance` is gone with it
-      }
-      for (const Action& action : actions) {
-        if (!calm_ && Chance(0.01 * trouble_)) return Kill(agent);
-        Do(agent, name, action);
-      }
+  Host& Of(const std::string& name) {
+    return *std::find_if(hosts_.begin(), hosts_.end(), [&](const Host& h) { return h.name == name; });
+  }
+
+  void Live(Host& host) {
+    std::erase_if(host.processes, [&](const auto& p) { return p.second.ends_at && now_ >= *p.second.ends_at; });
+    if (host.up) {
+      Call(host, [this](Agent& agent) { return agent.Live(now_, 0), true; });
+    } else if (now_ >= host.back_at) {
+      Boot(host);
     }
   }
 
-  Seen See(const Agent& agent, const std::string& name) const {
-    const auto it = agent.processes.find(name);
-    if (it == agent.processes.end()) return {};
+  Seen See(const Host& host, const std::string& name) const {
+    const auto it = host.processes.find(name);
+    if (it == host.processes.end()) return {};
     const Process& p = it->second;
     return {true, p.token, p.generation, now_ >= p.ready_at && !p.draining, p.draining};
   }
 
-  void Do(Agent& agent, const std::string& name, const Action& action) {
-    const auto it = agent.processes.find(name);
-    switch (action.kind) {
-      case Action::Kind::kStart: {
-        if (it != agent.processes.end()) return Violation("two processes for " + agent.name + '/' + name);
-        Process p{action.token, action.generation, now_ + milliseconds(100 + Upto(500)), {}, false, false, 0};
-        if (action.generation != "g0" && bad_at_.contains(agent.name)) {
-          if (dies_at_once_) p.ends_at = now_ + milliseconds(Upto(300));
-          p.ready_at = TimePoint::max();
-        }
-        agent.processes[name] = p;
-        break;
+  void Do(Host& host, const std::string& name, const Action& action) {
+    if (action.kind == Action::Kind::kSay) return;
+    Point(false);
+    const auto it = host.processes.find(name);
+    if (action.kind == Action::Kind::kStart) {
+      if (it != host.processes.end()) return Violation("two processes for " + host.name + '/' + name);
+      if (!action.token.empty() && !started_.insert(host.name + '/' + name + ' ' + action.token).second) {
+        ++history_.started_again;
       }
-      case Action::Kind::kStop:
-        if (it == agent.processes.end()) break;
-        if (++it->second.stops > 1) Violation("stopped twice: " + agent.name + '/' + name);
-        it->second.draining = true;
-        if (!it->second.deaf) it->second.ends_at = now_ + milliseconds(200 + Upto(600));
-        break;
-      case Action::Kind::kKill:
-        if (it != agent.processes.end()) it->second.ends_at = now_;
-        break;
-      case Action::Kind::kSay:
-        break;
+      Process p{action.token, action.generation, now_ + milliseconds(100 + Upto(500)), {}, false, false, 0};
+      if (action.generation != "g0" && bad_at_.contains(host.name)) {
+        if (dies_at_once_) p.ends_at = now_ + milliseconds(Upto(300));
+        p.ready_at = TimePoint::max();
+      }
+      host.processes[name] = p;
+    } else if (it != host.processes.end() && action.kind == Action::Kind::kStop) {
+      if (++it->second.stops > 1) Violation("stopped twice: " + host.name + '/' + name);
+      it->second.draining = true;
+      if (!it->second.deaf) it->second.ends_at = now_ + milliseconds(200 + Upto(600));
+    } else if (it != host.processes.end()) {
+      it->second.ends_at = now_;
     }
+    Point(true);
   }
 
-  // What is told of a step's end must have reached the disk.
-  Report ReportOf(const Agent& agent, const std::string& name) const {
-    const Instance& instance = agent.instances.at(name);
-    const Seen seen = See(agent, name);
-    const InstanceRecord& record = agent.records.at(name);
-    Report report;
-    report.step = record.step;
-    report.phase = record.phase;
-    report.why = record.why;
-    report.running = seen.running;
-    report.ready = seen.ready;
-    report.held = instance.held();
-    report.generation = seen.generation;
-    return report;
-  }
-
-  struct Answer {
-    LeaseBook::Verdict verdict = LeaseBook::Verdict::kGranted;
-    std::optional<Holder> holder;
-    std::string refused;
-    std::optional<Report> report;
-    Epoch highest = 0;
-    bool open = false;  // the change of the lease that was asked for
-  };
-
-  Answer Checked(Agent& agent, Epoch epoch, const std::string& tool) {
-    Answer answer;
-    answer.verdict = agent.lease->Use(epoch, tool, now_);
+  // Counts what was refused by its epoch; checks that no holder's command comes behind a later one's.
+  Agent::Answer Counted(Agent::Answer answer, Epoch epoch, bool command) {
     if (answer.verdict != LeaseBook::Verdict::kGranted) {
-      answer.holder = agent.lease->holder(now_);
       ++history_.fenced;
+    } else if (command) {
+      if (epoch < last_taken_) Violation("a holder's command was taken after a later holder's");
+      last_taken_ = std::max(last_taken_, epoch);
     }
     return answer;
   }
 
-  std::optional<Answer> Acquire(Agent& agent, Epoch epoch, const Holder& holder, const Plan* plan) {
-    LeaseBook next = *agent.lease;
-    Answer answer;
-    answer.verdict =
-        plan != nullptr ? next.Open(epoch, holder, now_) : next.Acquire(epoch, holder, now_);
-    answer.holder = agent.lease->holder(now_);
-    if (answer.verdict == LeaseBook::Verdict::kOpen) answer.holder = next.state().open;
-    if (answer.verdict != LeaseBook::Verdict::kGranted) return answer;
-    answer.open = next.state().open && next.state().open->change == holder.change;
-    const bool saved = Save(agent, [&] {
-      agent.lease_on_disk = next.state();
-      if (plan != nullptr) agent.plans[plan->id] = *plan;
-    });
-    if (!saved) return std::nullopt;
-    agent.lease = next;
-    return answer;
-  }
-
-  std::optional<Answer> Take(Agent& agent, const std::string& name, const Step& step, Epoch epoch,
-                             const std::string& tool) {
-    Answer answer = Checked(agent, epoch, tool);
-    if (answer.verdict != LeaseBook::Verdict::kGranted) return answer;
-    if (epoch < last_taken_) Violation("a holder's command was taken after a later holder's");
-    last_taken_ = std::max(last_taken_, epoch);
-    Instance next = agent.instances.at(name);
-    const auto verdict = next.Take(step);
-    if (verdict == Instance::Verdict::kMoved) answer.refused = "it has " + next.record().generation;
-    if (verdict == Instance::Verdict::kBusy) answer.refused = "busy with " + next.record().step.token();
-    if (verdict == Instance::Verdict::kTaken && next.record() != agent.records.at(name)) {
-      if (!Save(agent, [&] {
-            agent.records[name] = next.record();
-            if (!step.undo) taken_.insert({step.change, {agent.name, name}});
-          })) {
-        if (!agent.up) return std::nullopt;
-        answer.refused = "its disk takes nothing";
-        return answer;
-      }
-      agent.instances.at(name) = next;
-    }
-    answer.report = ReportOf(agent, name);
-    return answer;
-  }
-
   // ---- A tool ----
 
   static std::string NameOf(const Tool& tool) {
@@ -411,13 +374,14 @@
     if (!tool.claim && !tool.change && now_ >= tool.next) Begin(tool);
     if (tool.claim) Claiming(tool);
     if (tool.change) Changing(tool);
+    if (std::exchange(tool_dies_, false)) KillTool(tool);
   }
 
   std::vector<Target> Everything() const {
     std::vector<Target> targets;
-    for (const Agent& agent : agents_) {
-      for (const auto& [name, record] : agent.records)
-        targets.push_back({{agent.name, name}, agent.hall, "g0", "g1"});
+    for (const Host& host : hosts_) {
+      for (const auto& [name, record] : host.disk.records)
+        targets.push_back({{host.name, name}, host.hall, "g0", "g1"});
     }
     return targets;
   }
@@ -426,10 +390,15 @@
   void Begin(Tool& tool) {
     if (calm_ && &tool != &tools_.front()) return;
     std::string open;
-    for (const Agent& agent : agents_) {
-      if (!agent.up || !agent.lease->state().open) continue;
-      open = agent.lease->state().open->change;
-      tool.plan = agent.plans.at(open);
+    for (const Host& host : hosts_) {
+      if (!host.up || !host.agent->lease().open) continue;
+      open = host.agent->lease().open->change;
+      tool.plan = *host.agent->PlanOf(open);
+    }
+    if (script_ != nullptr && (open.empty() ? history_.changes > 0 || &tool != &tools_.front() : calm_)) {
+      const auto busy = [](const Tool& t) { return !t.up || t.claim || t.change; };
+      through_ = open.empty() && history_.changes > 0 && std::none_of(tools_.begin(), tools_.end(), busy) && Settled();
+      if (open.empty()) return;
     }
     bool resumes = false;
     // Some begin another change regardless, and must be refused.
@@ -446,19 +415,19 @@
                        PolicyOf(Chance(0.5))};
       // A later change goes on from where the ones before it left the fleet, a generation further.
       for (Target& target : tool.plan.targets) {
-        const Agent& agent = *std::find_if(agents_.begin(), agents_.end(),
-                                           [&](const Agent& a) { return a.name == target.name.agent; });
-        target.from = agent.records.at(target.name.instance).generation;
+        target.from = RecordOf(target.name).generation;
         target.to = Chance(0.2) ? target.from : "g" + std::to_string(history_.changes);
       }
       tool.aim = Change::Aim::kForward;
     } else {
       resumes = true;
-      tool.aim = calm_ ? Change::Aim::kUndo : Chance(0.5) ? Change::Aim::kUndo : Change::Aim::kForward;
+      tool.aim = script_ != nullptr ? script_->then
+                 : calm_            ? Change::Aim::kUndo
+                 : Chance(0.5) ? Change::Aim::kUndo : Change::Aim::kForward;
     }
     if (const auto fault = FaultOf(tool.plan)) return Violation(*fault);
     std::set<std::string> names;
-    for (const Agent& agent : agents_) names.insert(agent.name);
+    for (const Host& host : hosts_) names.insert(host.name);
     ++tool.claims;
     tool.claim = std::make_unique<Claim>(NameOf(tool), names, names, resumes, milliseconds(1500), now_);
   }
@@ -472,10 +441,8 @@
         case ClaimCommand::Kind::kLook:
           Ask(
               tool, c.agent,
-              [this](Agent& agent) -> std::optional<Answer> {
-                return Answer{{}, agent.lease->holder(now_), {}, {}, agent.lease->state().highest, false};
-              },
-              [&tool, name = c.agent](const Answer& a) {
+              [this](Agent& agent) { return agent.Highest(now_); },
+              [&tool, name = c.agent](const Agent::Answer& a) {
                 if (tool.claim) tool.claim->Looked(name, a.highest);
               });
           break;
@@ -484,10 +451,11 @@
           Ask(
               tool, c.agent,
               [this, c, holder, plan = tool.plan](Agent& agent) {
-                return Acquire(agent, c.epoch, holder, c.kind == ClaimCommand::Kind::kOpen ? &plan : nullptr);
+                return c.kind == ClaimCommand::Kind::kOpen ? agent.Open(c.epoch, holder, plan, now_, 0)
+                                                           : agent.Acquire(c.epoch, holder, now_, 0);
               },
-              [&tool, c, holder](const Answer& a) {
-                if (tool.claim) tool.claim->Answered(holder.tool, c.agent, c.epoch, a.verdict, a.holder, a.open);
+              [&tool, c, holder](const Agent::Answer& a) {
+                if (tool.claim && a.refused.empty()) tool.claim->Answered(holder.tool, c.agent, c.epoch, a.verdict, a.holder, a.open);
               });
           break;
         case ClaimCommand::Kind::kRelease:
@@ -511,13 +479,8 @@
   void Release(Tool& tool, const std::string& name, Epoch epoch, bool close) {
     Ask(
         tool, name,
-        [this, epoch, close, name = NameOf(tool)](Agent& agent) -> std::optional<Answer> {
-          LeaseBook next = *agent.lease;
-          next.Release(epoch, name, close);
-          if (Save(agent, [&] { agent.lease_on_disk = next.state(); })) agent.lease = next;
-          return std::nullopt;
-        },
-        [](const Answer&) {});
+        [epoch, close, name = NameOf(tool)](Agent& agent) { return agent.Release(epoch, name, close, 0); },
+        [](const Agent::Answer&) {});
   }
 
   void Changing(Tool& tool) {
@@ -532,16 +495,16 @@
       }
       Ask(
           tool, c.name.agent,
-          [this, c, epoch = tool.epoch, name = NameOf(tool)](Agent& agent) -> std::optional<Answer> {
+          [this, c, epoch = tool.epoch, name = NameOf(tool)](Agent& agent) {
             if (c.kind == ChangeCommand::Kind::kTake)
-              return Take(agent, c.name.instance, c.step, epoch, name);
-            Answer answer = Checked(agent, epoch, name);
+              return Counted(agent.Take(c.name.instance, c.step, epoch, name, now_, 0), epoch, true);
+            Agent::Answer answer = Counted(agent.Renew(epoch, name, now_), epoch, false);
             if (c.kind == ChangeCommand::Kind::kReport && answer.verdict == LeaseBook::Verdict::kGranted) {
-              answer.report = ReportOf(agent, c.name.instance);
+              answer.report = agent.ReportOf(c.name.instance);
             }
             return answer;
           },
-          [this, &tool, c, asked = now_, epoch = tool.epoch](const Answer& a) {
+          [this, &tool, c, asked = now_, epoch = tool.epoch](const Agent::Answer& a) {
             if (!tool.change || tool.epoch != epoch) return;
             if (a.verdict != LeaseBook::Verdict::kGranted) {
               return tool.change->Fenced(c.name.agent, a.holder ? a.holder->who : "");
@@ -557,7 +520,7 @@
 
   void Ended(Tool& tool, ChangeEnd end) {
     const bool closed = end != ChangeEnd::kHeld;
-    for (const Agent& agent : agents_) Release(tool, agent.name, tool.epoch, closed);
+    for (const Host& host : hosts_) Release(tool, host.name, tool.epoch, closed);
     tool.change.reset();
     tool.next = now_ + milliseconds(1000 + Upto(6000));
     switch (end) {
@@ -582,8 +545,8 @@
   // ---- Rules ----
 
   const InstanceRecord& RecordOf(const InstanceName& name) const {
-    return std::find_if(agents_.begin(), agents_.end(), [&](const Agent& a) { return a.name == name.agent; })
-        ->records.at(name.instance);
+    return std::find_if(hosts_.begin(), hosts_.end(), [&](const Host& h) { return h.name == name.agent; })
+        ->disk.records.at(name.instance);
   }
 
   // What a change says of its end is so at every instance, by what is on disk.
@@ -604,17 +567,17 @@
   void CheckHalls() {
     std::set<std::string> halls;
     std::size_t down = 0;
-    for (const Agent& agent : agents_) {
-      for (const auto& [name, record] : agent.records) {
-        const auto it = agent.processes.find(name);
-        const bool stopped = it != agent.processes.end() && it->second.draining;
+    for (const Host& host : hosts_) {
+      for (const auto& [name, record] : host.disk.records) {
+        const auto it = host.processes.find(name);
+        const bool stopped = it != host.processes.end() && it->second.draining;
         const bool by_step = record.phase == Phase::kAccepted &&
-                             (it == agent.processes.end() || it->second.token == record.token);
-        const bool failed = record.phase == Phase::kFailed && agent.lease_on_disk.open &&
-                            agent.lease_on_disk.open->change == record.step.change &&
-                            (it == agent.processes.end() || now_ < it->second.ready_at);
+                             (it == host.processes.end() || it->second.token == record.token);
+        const bool failed = record.phase == Phase::kFailed && host.disk.lease.open &&
+                            host.disk.lease.open->change == record.step.change &&
+                            (it == host.processes.end() || now_ < it->second.ready_at);
         if (!stopped && !by_step && !failed) continue;
-        halls.insert(agent.hall);
+        halls.insert(host.hall);
         ++down;
       }
     }
@@ -624,15 +587,15 @@
 
   // Every instance is in a known state: no step is open, and what runs is what the record names.
   bool Settled() {
-    for (const Agent& agent : agents_) {
-      if (!agent.up) return false;
-      for (const auto& [name, record] : agent.records) {
+    for (const Host& host : hosts_) {
+      if (!host.up) return false;
+      for (const auto& [name, record] : host.disk.records) {
         if (record.phase == Phase::kAccepted) return false;
-        const auto it = agent.processes.find(name);
-        if (it == agent.processes.end()) {
-          if (!agent.instances.at(name).held()) return false;
+        const auto it = host.processes.find(name);
+        if (it == host.processes.end()) {
+          if (!host.agent->ReportOf(name).held) return false;
         } else if (it->second.generation != record.generation) {
-          Violation(agent.name + '/' + name + " runs " + it->second.generation + ", and " +
+          Violation(host.name + '/' + name + " runs " + it->second.generation + ", and " +
                     record.generation + " is on record");
         }
       }
@@ -644,7 +607,11 @@
   TimePoint now_;
   bool calm_ = false;
   bool through_ = false;
-  std::vector<Agent> agents_;
+  std::vector<Host> hosts_;
+  const Script* script_ = nullptr;  // none: faults are drawn from the seed
+  bool saving_ = false;
+  bool tool_dies_ = false;
+  std::set<std::string> started_;  // by instance and token
   std::vector<Tool> tools_;
   std::multimap<TimePoint, std::function<void()>> messages_;
   std::set<std::string> bad_at_;
@@ -657,8 +624,56 @@
   History history_;
 };
 
+// The agent's disk, and its processes, as the agent sees them.
+class Disk : public Store {
+ public:
+  Disk(World& world, Host& host) : world_(world), host_(host) {}
+  bool SaveLease(const LeaseState& state, const Plan* opened, const Event&) override {
+    return world_.Save(host_, [&] {
+      host_.disk.lease = state;
+      if (opened != nullptr) host_.disk.plans[opened->id] = *opened;
+    });
+  }
+  bool SaveRecord(const std::string& instance, const InstanceRecord& record, const Event&) override {
+    return world_.Save(host_, [&] {
+      host_.disk.records[instance] = record;
+      if (!record.step.undo) world_.taken_.insert({record.step.change, {host_.name, instance}});
+    });
+  }
+  void Note(const Event&) override {}
+  std::vector<Event> Events(std::size_t) const override { return {}; }
+  std::string fault() const override { return {}; }
+
+ private:
+  World& world_;
+  Host& host_;
+};
+
+class Box : public Machine {
+ public:
+  Box(World& world, Host& host) : world_(world), host_(host) {}
+  Seen See(const std::string& instance) override { return world_.See(host_, instance); }
+  void Do(const std::string& instance, const Action& action) override { world_.Do(host_, instance, action); }
+  std::pair<std::uint64_t, std::uint64_t> Requests(const std::string&) override { return {0, 0}; }
+  bool HasGeneration(const std::string&) const override { return true; }
+
+ private:
+  World& world_;
+  Host& host_;
+};
+
+void World::Boot(Host& host) {
+  host.up = true;
+  host.store = std::make_unique<Disk>(*this, host);
+  host.machine = std::make_unique<Box>(*this, host);
+  std::map<std::string, std::string> begin;
+  for (const auto& [name, record] : host.disk.records) begin[name] = "g0";
+  host.agent = std::make_unique<Agent>(*host.store, *host.machine, host.disk, begin, Limits(), kLeaseTime, now_);
+}
+
 }  // namespace
 
 History Play(std::uint64_t seed) { return World(seed).Run(); }
+History Play(std::uint64_t seed, const Script& script) { return World(seed, &script).Run(); }
 
 }  // namespace mothrack::fleet::testing
--- a/tests/changes_model.h
+++ b/tests/changes_model.h
@@ -1,9 +1,13 @@
-// A fleet in one thread and in made-up time: agents with their disks, processes, tools and the messages
-// between them, all of which fail at moments drawn from one seed. Only the decisions are the program's own.
+// A fleet in one thread and in made-up time: the program's own agents (fleet/agent.h) over made-up disks and
+// processes, its own claims and changes in made-up tools, and the messages between them. All of these fail, at moments
+// drawn from one seed or at one that a script names.
 #pragma once
 
 #include <cstdint>
 #include <string>
+#include <vector>
+
+#include "fleet/change.h"
 
 namespace mothrack::fleet::testing {
 
@@ -19,9 +23,23 @@
   int undone = 0;
   int aborted = 0;
   int saves_failed = 0;
+  int started_again = 0;  // for a step that had a process already, after that one's end
+  // Of a script: places where an agent may die (before and after each durable step and each action), and commands that
+  // the first operator sent.
+  int points = 0;
+  int commands = 0;
 };
 
 // One history. The same seed gives the same one.
 History Play(std::uint64_t seed);
 
+// One change to all, and no other fault than these. A second operator finishes what the first leaves.
+struct Script {
+  std::vector<int> agent_dies_at{};  // at these places of History::points, counted over all agents
+  int tool_dies_at = -1;             // after this one of History::commands; -1: never
+  Change::Aim then = Change::Aim::kForward;
+};
+// The seed draws the delays.
+History Play(std::uint64_t seed, const Script& script);
+
 }  // namespace mothrack::fleet::testing
--- a/tests/changes_test.cpp
+++ b/tests/changes_test.cpp
@@ -1,5 +1,6 @@
 // What changes many instances: the lease, an instance's steps, a plan, a change; and all of them in
 // histories.
+#include <algorithm>
 #include <cstdlib>
 #include <map>
 #include <set>
@@ -689,5 +690,66 @@
   }
 }
 
+// ---- Crash points ----
+
+constexpr std::uint64_t kScriptSeed = 7;
+
+// Agents' deaths before and after every durable step and every action of a change, one at a time. The operator's tool
+// lives on where it can, and a second one finishes what it leaves.
+TEST(CrashPoints, AnAgentThatDiesAtAnyOfThemLeavesAKnownState) {
+  const testing::History calm = testing::Play(kScriptSeed, testing::Script{});
+  ASSERT_EQ(calm.violation, "");
+  ASSERT_EQ(calm.end, "completed");
+  // Of eight instances: taken, stopped, started, done; of four agents: claimed, opened, closed. Each before and after.
+  ASSERT_GE(calm.points, 2 * (8 * 4 + 4 * 3));
+  std::map<std::string, int> ends;
+  for (const Change::Aim then : {Change::Aim::kForward, Change::Aim::kUndo}) {
+    for (int point = 0; point < calm.points; ++point) {
+      const testing::History history = testing::Play(kScriptSeed, {{point}, -1, then});
+      ASSERT_EQ(history.violation, "") << "point " << point;
+      ASSERT_EQ(history.agent_deaths, 1) << "point " << point;
+      EXPECT_EQ(history.started_again, 0) << "point " << point;
+      ++ends[history.end];
+    }
+  }
+  EXPECT_GT(ends["completed"], 0);
+  EXPECT_GT(ends["rolled back"], 0);
+}
+
+// Two deaths: every eleventh pair here; CRASH_PAIRS=1 plays them all.
+TEST(CrashPoints, NeitherDoesASecondDeathOnTheWayBack) {
+  const char* set = std::getenv("CRASH_PAIRS");
+  const int stride = set == nullptr ? 11 : std::max(1, std::atoi(set));
+  const int points = testing::Play(kScriptSeed, testing::Script{}).points;
+  int pair = 0;
+  int both = 0;
+  for (int first = 0; first < points; ++first) {
+    for (int second = first + 1; second < points + 8; ++second) {
+      if (++pair % stride != 0) continue;
+      const Change::Aim then = pair % 2 == 0 ? Change::Aim::kForward : Change::Aim::kUndo;
+      const testing::History history = testing::Play(kScriptSeed, {{first, second}, -1, then});
+      ASSERT_EQ(history.violation, "") << "points " << first << " and " << second;
+      if (history.agent_deaths == 2) ++both;
+    }
+  }
+  EXPECT_GT(both, pair / stride / 2);
+}
+
+TEST(CrashPoints, AToolThatDiesAfterAnyCommandIsFollowedByAnother) {
+  const testing::History calm = testing::Play(kScriptSeed, testing::Script{});
+  ASSERT_GT(calm.commands, 40);
+  std::map<std::string, int> ends;
+  for (int command = 0; command < calm.commands; ++command) {
+    const Change::Aim then = command % 2 == 0 ? Change::Aim::kForward : Change::Aim::kUndo;
+    const testing::History history = testing::Play(kScriptSeed, {{}, command, then});
+    ASSERT_EQ(history.violation, "") << "command " << command;
+    ASSERT_EQ(history.tool_deaths, 1) << "command " << command;
+    EXPECT_EQ(history.started_again, 0) << "command " << command;
+    ++ends[history.end];
+  }
+  EXPECT_GT(ends["completed"], 0);
+  EXPECT_GT(ends["rolled back"], 0);
+}
+
 }  // namespace
 }  // namespace mothrack::fleet
