--- a/core/dispatcher.cpp
+++ b/core/dispatcher.cpp
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(boost::asio::io_context& io, const kestrellb::Settings& settings, std::uint64_t seed,
+Dispatcher::Dispatcher(std::unique_ptr<Alarm> alarm, const kestrellb::Settings& settings, std::uint64_t seed,
                        Transport& transport, Logger& log, OnSubscribe on_subscribe)
     : settings_(settings),
       balancer_(settings, seed),
@@ -41,7 +41,7 @@
       on_subscribe_(std::move(on_subscribe)),
       tally_(settings.classes.size(), settings.tenants.size()),
       keys_(kKeyMemory, kMostEndedKeys),
-      timers_(io, [this](std::uint64_t token) { Deliver(kestrellb::TimerFired{token}); }) {}
+      timers_(std::move(alarm), [this](std::uint64_t token) { Deliver(kestrellb::TimerFired{token}); }) {}
 
 void Dispatcher::Pump() {
   {
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -33,6 +33,10 @@
 
   // `transport` and `log` must outlive it. The membership held comes first, by Apply() with kRestored.
   Dispatcher(boost::asio::io_context& io, const kestrellb::Settings& settings, std::uint64_t seed,
+             Transport& transport, Logger& log, OnSubscribe on_subscribe = nullptr)
+      : Dispatcher(std::make_unique<LoopAlarm>(io), settings, seed, transport, log, std::move(on_subscribe)) {}
+  // With a clock of its own, which must not call it once it is destroyed.
+  Dispatcher(std::unique_ptr<Alarm> alarm, const kestrellb::Settings& settings, std::uint64_t seed,
              Transport& transport, Logger& log, OnSubscribe on_subscribe = nullptr);
 
   // Takes a request in; nothing, and no Final, where its key is taken.
@@ -92,6 +96,7 @@
     events_.emplace_back(std::forward<E>(event));
     if (!delivering_) Pump();
   }
+  TimePoint Now() const { return timers_.Now(); }
   void Pump();
   void Tell(MembershipList list);
   void Started(kestrellb::RequestId id, kestrellb::AttemptId attempt, std::unique_ptr<Reply> reply);
--- a/core/log.h
+++ b/core/log.h
@@ -12,10 +12,10 @@
 
 class Logger {
  public:
-  explicit Logger(std::string name) : name_(std::move(name)) {}
+  explicit Logger(std::string name, std::ostream& out = std::cerr) : out_(out), name_(std::move(name)) {}
 
   // One of a few long lines that come by the clock and are asked for.
-  void Figures(const std::string& text) { std::cerr << name_ << ": " << text << std::endl; }
+  void Figures(const std::string& text) { out_ << name_ << ": " << text << std::endl; }
 
   // Guards against a trouble that repeats filling the disk: past kBurst lines only kPerSecond go out, and the
   // next one tells how many did not.
@@ -29,14 +29,15 @@
       return;
     }
     allowed_ -= 1;
-    if (dropped_ > 0) std::cerr << name_ << ": " << std::exchange(dropped_, 0) << " lines left out\n";
-    std::cerr << name_ << ": " << text.substr(0, kLongest) << std::endl;
+    if (dropped_ > 0) out_ << name_ << ": " << std::exchange(dropped_, 0) << " lines left out\n";
+    out_ << name_ << ": " << text.substr(0, kLongest) << std::endl;
   }
 
  private:
   static constexpr double kBurst = 100;
   static constexpr double kPerSecond = 5;
   static constexpr std::size_t kLongest = 500;
+  std::ostream& out_;
   std::string name_;
   double allowed_ = kBurst;
   TimePoint refilled_ = Now();
--- a/core/timers.cpp
+++ b/core/timers.cpp
@@ -2,16 +2,20 @@
 
 namespace mothrack {
 
+void LoopAlarm::Set(TimePoint at, std::function<void()> due) {
+  timer_.expires_at(ToSteady(at));
+  timer_.async_wait([due = std::move(due)](boost::system::error_code error) {
+    if (!error) due();
+  });
+}
+
 void Timers::Arm() {
   if (due_) return;  // Due() arms at its end
   const TimePoint next = queue_.empty() ? TimePoint::max() : queue_.top().first;
   // One that was armed for earlier fires for nothing and arms anew: cheaper than setting it back each time.
   if (next >= armed_for_) return;
   armed_for_ = next;
-  timer_.expires_at(ToSteady(next));
-  timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) Due();
-  });
+  alarm_->Set(next, [this] { Due(); });
 }
 
 void Timers::Due() {
--- a/core/timers.h
+++ b/core/timers.h
@@ -1,10 +1,11 @@
-// Many points in time on one timer of the event loop.
+// Many points in time on one alarm: that of the event loop, or of a made-up clock.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <queue>
 #include <utility>
 #include <vector>
@@ -13,16 +14,38 @@
 
 namespace mothrack {
 
+// Where time comes from. One is set at a time: a later Set() replaces an earlier one.
+class Alarm {
+ public:
+  virtual ~Alarm() = default;
+  virtual TimePoint Now() const = 0;
+  // Calls `due` once, at or after `at`, from the loop and never from within Set(); not at all once it is destroyed.
+  virtual void Set(TimePoint at, std::function<void()> due) = 0;
+};
+
+// The program's clock and its event loop.
+class LoopAlarm : public Alarm {
+ public:
+  explicit LoopAlarm(boost::asio::io_context& io) : timer_(io) {}
+  TimePoint Now() const override { return mothrack::Now(); }
+  void Set(TimePoint at, std::function<void()> due) override;
+
+ private:
+  boost::asio::steady_timer timer_;
+};
+
 // A token set is handed to `on_due` once, at or after its time, in the order of the times. There is no taking
 // back: whoever set a token that no longer matters ignores it.
 class Timers {
  public:
   using OnDue = std::function<void(std::uint64_t token)>;
-  Timers(boost::asio::io_context& io, OnDue on_due) : timer_(io), on_due_(std::move(on_due)) {}
+  Timers(std::unique_ptr<Alarm> alarm, OnDue on_due) : alarm_(std::move(alarm)), on_due_(std::move(on_due)) {}
+  Timers(boost::asio::io_context& io, OnDue on_due) : Timers(std::make_unique<LoopAlarm>(io), std::move(on_due)) {}
 
   // Counts from the next Arm() on: whoever sets several arms once.
   void Set(TimePoint at, std::uint64_t token) { queue_.emplace(at, token); }
   void Arm();
+  TimePoint Now() const { return alarm_->Now(); }
   std::size_t size() const { return queue_.size(); }
 
  private:
@@ -31,7 +54,7 @@
   void Due();
 
   std::priority_queue<Entry, std::vector<Entry>, std::greater<>> queue_;
-  boost::asio::steady_timer timer_;
+  const std::unique_ptr<Alarm> alarm_;
   TimePoint armed_for_ = TimePoint::max();
   bool due_ = false;  // handlers are being called
   const OnDue on_due_;
--- /dev/null
+++ b/lab/carrier.cpp
@@ -0,0 +1,174 @@
+#include "lab/carrier.h"
+
+#include <algorithm>
+
+namespace mothrack::lab {
+
+using kestrellb::Outcome;
+
+void Carrier::Apply(const std::string& uid, const Location& location) {
+  Pool& pool = At(uid);
+  const bool same = location.state == kestrellb::UpstreamState::kServing && location.boot_ms == pool.location.boot_ms;
+  pool.location = location;
+  if (same) return;
+  pool.idle.clear();
+  std::vector<CallPtr> unsent;
+  const std::size_t server = NumberOf(uid);
+  for (const auto& [id, call] : calls_) {
+    if (call->server == server && !call->connected) unsent.push_back(call);
+  }
+  std::sort(unsent.begin(), unsent.end(), [](const CallPtr& a, const CallPtr& b) { return a->id < b->id; });
+  for (const CallPtr& call : unsent) End(call, Outcome::kNotSent, false);
+}
+
+void Carrier::Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration timeout,
+                   ExchangeHooks hooks) {
+  auto call = std::make_shared<Call>();
+  call->id = id;
+  call->server = NumberOf(uid);
+  call->wish = std::static_pointer_cast<const Wish>(message);
+  call->hooks = std::move(hooks);
+  call->began = sim_.now();
+  call->job = links_.NextJob();
+  calls_.emplace(id, call);
+  sim_.After(timeout, [this, weak = std::weak_ptr(call), life = std::weak_ptr(life_)] {
+    const auto call = weak.lock();
+    if (!life.expired() && call) End(call, Outcome::kTimeout, false);
+  });
+  Pool& pool = At(uid);
+  std::erase_if(pool.idle, [this](TimePoint since) { return sim_.now() - since >= std::chrono::seconds(15); });
+  if (pool.idle.empty()) return Connect(call);
+  pool.idle.pop_back();
+  Write(call);
+}
+
+void Carrier::Connect(const CallPtr& call) {
+  ++connects_;
+  const Duration there = links_.Delay(zone_, call->server);
+  const Duration hand = Milliseconds(scenario_.handshake_ms) + 2 * there;
+  const auto later = [this, call, life = std::weak_ptr(life_)](Duration wait, auto act) {
+    sim_.After(wait, [call, life, act] {
+      if (!life.expired() && !call->ended) act();
+    });
+  };
+  if (!links_.Passes(zone_, call->server)) {
+    // Silence; a socket gives up after the time of the settings.
+    return later(std::chrono::milliseconds(200), [this, call] { End(call, Outcome::kConnectFailed, false); });
+  }
+  if (!links_.At(call->server).up()) {
+    return later(2 * there, [this, call] { End(call, Outcome::kConnectFailed, false); });
+  }
+  later(hand, [this, call] { Write(call); });
+}
+
+void Carrier::Write(const CallPtr& call) {
+  call->connected = true;
+  Happening h;
+  h.kind = Happening::Kind::kSent;
+  h.sidecar = sidecar_;
+  h.request = call->wish->request;
+  h.server = call->server;
+  links_.Tell(h);
+  if (call->hooks.on_written) call->hooks.on_written();
+  if (!links_.Passes(zone_, call->server)) return;  // nothing comes back until its time is over
+  sim_.After(links_.Delay(zone_, call->server), [this, call, life = std::weak_ptr(life_)] {
+    if (!life.expired()) Arrive(call);
+  });
+}
+
+// At the server, whether or not its sidecar still waits.
+void Carrier::Arrive(const CallPtr& call) {
+  if (call->ended) return;  // its connection was closed behind it
+  Server& server = links_.At(call->server);
+  if (!links_.Passes(zone_, call->server)) return;
+  if (!server.up()) return Answer(call, Outcome::kReset);
+  Happening h;
+  h.sidecar = sidecar_;
+  h.request = call->wish->request;
+  h.server = call->server;
+  h.cls = call->wish->cls;
+  h.work = call->wish->work;
+  Server::Job job;
+  job.id = call->job;
+  job.work = call->wish->work;
+  // The server may outlive this sidecar.
+  job.begun = [&links = links_, h]() mutable {
+    h.kind = Happening::Kind::kRan;
+    links.Tell(h);
+  };
+  job.ended = [this, call, life = std::weak_ptr(life_)](Server::End end) {
+    if (life.expired()) return;
+    Answer(call, end == Server::End::kDone    ? Outcome::kServed
+                 : end == Server::End::kError ? Outcome::kError
+                                              : Outcome::kReset);
+  };
+  h.kind = Happening::Kind::kArrived;
+  const bool taken = server.Take(std::move(job));
+  if (!taken) return Answer(call, Outcome::kFull);
+  links_.Tell(h);
+}
+
+void Carrier::Answer(const CallPtr& call, Outcome outcome) {
+  if (!links_.Passes(zone_, call->server)) return;
+  sim_.After(links_.Delay(zone_, call->server), [this, call, outcome, life = std::weak_ptr(life_)] {
+    if (!life.expired()) End(call, outcome, outcome != Outcome::kReset);
+  });
+}
+
+void Carrier::End(const CallPtr& call, Outcome outcome, bool keeps) {
+  if (call->ended) return;
+  call->ended = true;
+  calls_.erase(call->id);
+  if (keeps) At(NameOf(call->server)).idle.push_back(sim_.now());
+  const bool given_up = outcome == Outcome::kTimeout || outcome == Outcome::kCancelled;
+  if (given_up && call->connected && links_.Passes(zone_, call->server)) {
+    sim_.After(links_.Delay(zone_, call->server), [&links = links_, server = call->server, job = call->job] {
+      links.At(server).Cancel(job);
+    });
+  }
+  // Before its request's first byte was written nothing can have run, whatever ended it.
+  const bool unsent = !call->connected && (outcome == Outcome::kTimeout || outcome == Outcome::kCancelled);
+  const Outcome proven = !unsent ? outcome : outcome == Outcome::kTimeout ? Outcome::kConnectFailed : Outcome::kNotSent;
+  if (call->connected) {
+    Happening h;
+    h.kind = Happening::Kind::kEnded;
+    h.sidecar = sidecar_;
+    h.request = call->wish->request;
+    h.server = call->server;
+    h.outcome = proven;
+    links_.Tell(h);
+  }
+  ExchangeResult result;
+  result.outcome = proven;
+  result.elapsed = sim_.now() - call->began;
+  if (proven == Outcome::kServed) result.reply = std::make_unique<Reply>();
+  const auto on_end = std::move(call->hooks.on_end);
+  if (on_end) on_end(std::move(result));
+}
+
+void Carrier::Probe(ExchangeId, const std::string& uid, OnEnd on_end) {
+  const std::size_t server = NumberOf(uid);
+  const Duration there = links_.Delay(zone_, server);
+  const bool well = links_.Passes(zone_, server) && links_.At(server).up();
+  sim_.After(well ? 2 * there : Duration(std::chrono::milliseconds(200)),
+             [on_end = std::move(on_end), well, there, life = std::weak_ptr(life_)] {
+               if (life.expired()) return;
+               ExchangeResult result;
+               result.outcome = well ? Outcome::kServed : Outcome::kTimeout;
+               result.elapsed = 2 * there;
+               on_end(std::move(result));
+             });
+}
+
+void Carrier::Broke(std::size_t server) { At(NameOf(server)).idle.clear(); }
+
+void Carrier::Cancel(ExchangeId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  // The end is told from the loop, as sockets do.
+  sim_.After(Duration(0), [this, call = it->second, life = std::weak_ptr(life_)] {
+    if (!life.expired()) End(call, Outcome::kCancelled, false);
+  });
+}
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/carrier.h
@@ -0,0 +1,96 @@
+// The transport of a made-up sidecar: what http/transport.h does on sockets, in made-up time over made-up links. It keeps
+// connections, opens new ones, and proves of each attempt no more than a socket would.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/exchange.h"
+#include "lab/happening.h"
+#include "lab/server.h"
+#include "lab/sim.h"
+
+namespace mothrack::lab {
+
+// A request as the lab's clients make it.
+struct Wish : Message {
+  std::uint64_t request = 0;
+  std::size_t cls = 0;
+  double work = 0;
+};
+
+// What lies between sidecars and servers.
+class Links {
+ public:
+  virtual ~Links() = default;
+  // Of a sidecar in this zone to a server, or back.
+  virtual Duration Delay(std::size_t zone, std::size_t server) = 0;
+  // Does anything pass at all? Else there is silence.
+  virtual bool Passes(std::size_t zone, std::size_t server) const = 0;
+  virtual Server& At(std::size_t server) = 0;
+  virtual void Tell(Happening h) = 0;
+  virtual std::uint64_t NextJob() = 0;
+};
+
+class Carrier : public Transport {
+ public:
+  Carrier(Simulator& sim, Links& links, const Scenario& scenario, std::uint64_t sidecar, std::size_t zone,
+          Random random)
+      : sim_(sim), links_(links), scenario_(scenario), sidecar_(sidecar), zone_(zone), random_(random) {}
+
+  void Apply(const std::string& uid, const Location& location) override;
+  void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration timeout,
+            ExchangeHooks hooks) override;
+  void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override;
+  void Cancel(ExchangeId id) override;
+  void CloseIdle(const std::string& uid) override { At(uid).idle.clear(); }
+
+  // The server's process has ended, and its sockets said so.
+  void Broke(std::size_t server);
+
+  std::uint64_t connects() const { return connects_; }
+  // The name of a server in lists, and back.
+  static std::string NameOf(std::size_t server) { return "s" + std::to_string(server); }
+  static std::size_t NumberOf(const std::string& uid) { return std::stoul(uid.substr(1)); }
+
+ private:
+  struct Call {
+    ExchangeId id{};
+    std::size_t server = 0;
+    std::shared_ptr<const Wish> wish;
+    ExchangeHooks hooks;
+    TimePoint began;
+    std::uint64_t job = 0;
+    bool connected = false;  // its request is being written, or was
+    bool ended = false;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+  struct Pool {
+    Location location;
+    std::vector<TimePoint> idle;  // since when
+  };
+
+  Pool& At(const std::string& uid) { return pools_[uid]; }
+  void Connect(const CallPtr& call);
+  void Write(const CallPtr& call);
+  void Arrive(const CallPtr& call);
+  void Answer(const CallPtr& call, kestrellb::Outcome outcome);
+  void End(const CallPtr& call, kestrellb::Outcome outcome, bool keeps);
+
+  Simulator& sim_;
+  Links& links_;
+  const Scenario& scenario_;
+  const std::uint64_t sidecar_;
+  const std::size_t zone_;
+  Random random_;
+  std::unordered_map<std::string, Pool> pools_;
+  std::unordered_map<ExchangeId, CallPtr> calls_;
+  std::uint64_t connects_ = 0;
+  // What is on its way must not reach one that is gone.
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);
+};
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/figures.cpp
@@ -0,0 +1,169 @@
+#include "lab/figures.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "lab/sim.h"
+
+namespace mothrack::lab {
+namespace {
+
+constexpr double kLeastMs = 0.1;
+constexpr double kMostMs = 1e5;
+constexpr double kBinWidth = 1.05;
+// A second is well with fewer refused than this, and fewer late; so many in a row are a recovery.
+constexpr double kMostRefused = 0.02;
+constexpr double kMostLate = 0.05;
+constexpr std::size_t kWellSeconds = 3;
+// Room: what is able exceeds the demand by this.
+constexpr double kRoom = 1.1;
+
+}  // namespace
+
+Times NewTimes() {
+  const auto bins = static_cast<unsigned>(std::ceil(std::log(kMostMs / kLeastMs) / std::log(kBinWidth)));
+  return boost::histogram::make_histogram(boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(
+      bins, kLeastMs, kMostMs));
+}
+
+double Quantile(const Times& times, double q) {
+  double sum = 0;
+  for (const auto& bin : boost::histogram::indexed(times, boost::histogram::coverage::all)) sum += *bin;
+  if (sum <= 0) return 0;
+  double before = 0;
+  for (const auto& bin : boost::histogram::indexed(times, boost::histogram::coverage::all)) {
+    before += *bin;
+    if (before < q * sum) continue;
+    const double low = std::max(bin.bin().lower(), kLeastMs);
+    const double high = std::min(bin.bin().upper(), kMostMs);
+    return std::sqrt(low * high);
+  }
+  return kMostMs;
+}
+
+Figures::Figures(const Scenario& scenario)
+    : scenario_(scenario),
+      seconds_(static_cast<std::size_t>(std::ceil(scenario.length_s))),
+      all_(NewTimes()) {
+  for (std::size_t i = 0; i < seconds_.size(); ++i) times_.push_back(NewTimes());
+}
+
+Second& Figures::At(double s) {
+  const auto i = static_cast<std::size_t>(std::max(0.0, s));
+  return seconds_[std::min(i, seconds_.size() - 1)];
+}
+
+void Figures::Tell(const Happening& h) {
+  const double s = InSeconds(h.at);
+  switch (h.kind) {
+    case Happening::Kind::kAsked:
+      ++At(s).asked;
+      At(s).worth += scenario_.classes[h.cls].worth;
+      wanted_[h.request] = {h.at, h.cls};
+      break;
+    case Happening::Kind::kGotten: {
+      const auto it = wanted_.find(h.request);
+      if (it == wanted_.end()) break;
+      const double began = InSeconds(it->second.at);
+      Second& second = At(began);
+      if (h.ending == Ending::kServed) {
+        const double ms = InMilliseconds(h.at - it->second.at);
+        ++(h.late ? second.late : second.good);
+        if (!h.late) second.gained += scenario_.classes[it->second.cls].worth;
+        times_[std::min(static_cast<std::size_t>(began), times_.size() - 1)](ms);
+        all_(ms);
+      } else {
+        ++(h.ending == Ending::kRefused ? second.refused : second.failed);
+      }
+      wanted_.erase(it);
+      break;
+    }
+    case Happening::Kind::kTaken:
+      ++At(s).tries;
+      break;
+    case Happening::Kind::kFinal:
+      if (h.ending == Ending::kRefused) ++At(s).refused_tries;
+      break;
+    case Happening::Kind::kSent:
+      ++At(s).attempts;
+      break;
+    default:
+      break;
+  }
+}
+
+void Figures::Finish() {
+  for (std::size_t i = 0; i < seconds_.size(); ++i) {
+    seconds_[i].p50 = Quantile(times_[i], 0.5);
+    seconds_[i].p95 = Quantile(times_[i], 0.95);
+    seconds_[i].p99 = Quantile(times_[i], 0.99);
+  }
+}
+
+Second Figures::Sum() const {
+  Second sum;
+  for (const Second& s : seconds_) {
+    sum.asked += s.asked;
+    sum.good += s.good;
+    sum.late += s.late;
+    sum.refused += s.refused;
+    sum.failed += s.failed;
+    sum.worth += s.worth;
+    sum.gained += s.gained;
+    sum.tries += s.tries;
+    sum.refused_tries += s.refused_tries;
+    sum.attempts += s.attempts;
+    sum.connects += s.connects;
+    sum.ejected += s.ejected;
+    sum.returned += s.returned;
+  }
+  return sum;
+}
+
+double Figures::served_share() const {
+  const Second sum = Sum();
+  return sum.asked == 0 ? 1 : static_cast<double>(sum.good + sum.late) / static_cast<double>(sum.asked);
+}
+
+double Figures::gained_share() const {
+  const Second sum = Sum();
+  return sum.worth <= 0 ? 1 : sum.gained / sum.worth;
+}
+
+std::optional<Recovery> Figures::recovery() const {
+  if (scenario_.faults.empty()) return std::nullopt;
+  double begin = scenario_.length_s;
+  for (const Fault& f : scenario_.faults) begin = std::min(begin, f.at_s);
+  const auto from = static_cast<std::size_t>(begin);
+  // Behind the last second in which there was too little; where there always was enough, the trouble's begin.
+  std::size_t covered = from;
+  for (std::size_t i = from; i < seconds_.size(); ++i) {
+    if (seconds_[i].able < seconds_[i].demand) covered = i + 1;
+  }
+  const auto bad = [](const Second& s) { return static_cast<double>(s.refused + s.failed); };
+  const auto well = [&](const Second& s) {
+    const auto asked = static_cast<double>(std::max<std::uint64_t>(1, s.asked));
+    return bad(s) < kMostRefused * asked && static_cast<double>(s.late) < kMostLate * asked;
+  };
+  Recovery recovery;
+  recovery.covered_s = static_cast<double>(covered);
+  double lost = 0;
+  double asked = 0;
+  for (const Second& s : seconds_) {
+    asked += static_cast<double>(s.asked);
+    if (s.able >= kRoom * s.demand) lost += bad(s);
+  }
+  recovery.needless = asked > 0 ? lost / asked : 0;
+  for (std::size_t i = covered; i + kWellSeconds <= seconds_.size(); ++i) {
+    const auto begin_at = seconds_.begin() + static_cast<std::ptrdiff_t>(i);
+    if (!std::all_of(begin_at, begin_at + static_cast<std::ptrdiff_t>(kWellSeconds), well)) continue;
+    recovery.recovered = true;
+    recovery.recovered_s = static_cast<double>(i);
+    recovery.took_s = recovery.recovered_s - recovery.covered_s;
+    break;
+  }
+  if (!recovery.recovered) recovery.took_s = scenario_.length_s - recovery.covered_s;
+  return recovery;
+}
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/figures.h
@@ -0,0 +1,84 @@
+// What a run is told by: a row a second, times to answers, and how soon service was back after trouble.
+#pragma once
+
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/happening.h"
+#include "lab/scenario.h"
+
+namespace mothrack::lab {
+
+// Milliseconds, each bin 5% wide from 0.1 ms to 100 s: a quantile is off by half of that at most.
+using Times = boost::histogram::histogram<
+    std::tuple<boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>>>;
+Times NewTimes();
+// Of q in 0..1; 0 where there is none.
+double Quantile(const Times& times, double q);
+
+struct Second {
+  // Wishes by the second in which they began.
+  std::uint64_t asked = 0;
+  std::uint64_t good = 0;     // served within their aim
+  std::uint64_t late = 0;     // served after it
+  std::uint64_t refused = 0;  // came to nothing, the last word being a refusal
+  std::uint64_t failed = 0;
+  double worth = 0;           // asked for
+  double gained = 0;
+  // What was done in it.
+  std::uint64_t tries = 0;         // requests that sidecars took
+  std::uint64_t refused_tries = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t connects = 0;
+  std::uint64_t ejected = 0;
+  std::uint64_t returned = 0;
+  // Of the whole, when warm and well: what could serve, and what was asked of it for the first time.
+  double able = 0;
+  double demand = 0;
+  double held = 0;  // calls at servers
+  int cold = 0;     // servers
+  int down = 0;
+  double p50 = 0, p95 = 0, p99 = 0;  // milliseconds, of what was served
+};
+
+struct Recovery {
+  double covered_s = 0;    // what was able covered the demand from then on
+  double recovered_s = 0;  // refusals under 2%, late under 5%, for three seconds
+  bool recovered = false;
+  double took_s = 0;
+  double needless = 0;     // wishes that came to nothing while there was a tenth of room, as a share of all
+};
+
+class Figures {
+ public:
+  Figures(const Scenario& scenario);
+
+  void Tell(const Happening& h);
+  // Of the second that is over.
+  Second& At(double s);
+  void Finish();
+
+  const std::vector<Second>& seconds() const { return seconds_; }
+  Second Sum() const;
+  double p(double q) const { return Quantile(all_, q); }
+  double served_share() const;  // of wishes, in aim or late
+  double gained_share() const;  // of worth
+  // Of each fault's time; the last one where several overlap.
+  std::optional<Recovery> recovery() const;
+
+ private:
+  struct Wanted {
+    TimePoint at;
+    std::size_t cls;
+  };
+  const Scenario& scenario_;
+  std::vector<Second> seconds_;
+  std::vector<Times> times_;
+  Times all_;
+  std::unordered_map<std::uint64_t, Wanted> wanted_;
+};
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/rules.cpp
@@ -0,0 +1,158 @@
+#include "lab/rules.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "lab/sim.h"
+
+namespace mothrack::lab {
+namespace {
+
+// A call that was given up may still run so long after its request's end: servers drop what has expired.
+constexpr Duration kMemory = std::chrono::seconds(20);
+
+bool NeverRan(kestrellb::Outcome outcome) {
+  return outcome == kestrellb::Outcome::kFull || outcome == kestrellb::Outcome::kConnectFailed ||
+         outcome == kestrellb::Outcome::kNotSent;
+}
+
+}  // namespace
+
+const char* NameOf(Rule rule) {
+  constexpr std::array<const char*, 4> kNames = {"lost", "twice", "drain", "cold"};
+  return kNames.at(static_cast<std::size_t>(rule));
+}
+
+Rules::Rules(Limits limits) : limits_(std::move(limits)) {}
+
+std::size_t Rules::total() const { return std::accumulate(counts_.begin(), counts_.end(), std::size_t{0}); }
+
+void Rules::Broken(Rule rule, TimePoint at, std::string what) {
+  if (counts_[static_cast<std::size_t>(rule)]++ == 0) first_.push_back({rule, InSeconds(at), std::move(what)});
+}
+
+void Rules::Forget(TimePoint now) {
+  while (!ended_.empty() && now - ended_.front().first > kMemory) {
+    open_.erase(ended_.front().second);
+    ended_.pop_front();
+  }
+}
+
+void Rules::Tell(const Happening& h) {
+  using Kind = Happening::Kind;
+  Forget(h.at);
+  const std::string request = "request " + std::to_string(h.request);
+  const auto it = open_.find(h.request);
+  Open* open = it == open_.end() ? nullptr : &it->second;
+  const bool unsafe = open != nullptr && limits_.unsafe.at(open->cls);
+  switch (h.kind) {
+    case Kind::kTaken:
+      open_[h.request] = {h.sidecar, h.cls, h.until, 0, 0, false, false, false, {}};
+      break;
+    case Kind::kFinal:
+      if (open == nullptr) {
+        Broken(Rule::kLost, h.at, request + " was answered and never taken");
+        break;
+      }
+      if (open->answered) Broken(Rule::kLost, h.at, request + " was answered twice");
+      if (!open->left && h.at > open->until + limits_.grace) {
+        Broken(Rule::kLost, h.at, request + " was answered " +
+                                      std::to_string(InMilliseconds(h.at - open->until)) + " ms after its time");
+      }
+      if (unsafe && h.ending == Ending::kRefused && (open->unproven > 0 || open->runs > 0)) {
+        Broken(Rule::kTwice, h.at, request + ", unsafe, was refused, and may have run");
+      }
+      open->answered = true;
+      open->refused = h.ending == Ending::kRefused;
+      ended_.emplace_back(h.at, h.request);
+      break;
+    case Kind::kLeft:
+      if (open != nullptr && !open->answered) {
+        open->answered = open->left = true;
+        ended_.emplace_back(h.at, h.request);
+      }
+      break;
+    case Kind::kKilled:
+      for (auto& [id, o] : open_) {
+        if (o.sidecar != h.sidecar || o.answered) continue;
+        o.answered = o.left = true;
+        ended_.emplace_back(h.at, id);
+      }
+      leaving_.erase(h.sidecar);
+      break;
+    case Kind::kSent: {
+      if (open != nullptr) {
+        if (unsafe && open->unproven > 0) {
+          Broken(Rule::kTwice, h.at, request + ", unsafe, was sent again while it may have run");
+        }
+        ++open->unproven;
+      }
+      const auto sidecar = leaving_.find(h.sidecar);
+      if (sidecar == leaving_.end()) break;
+      const auto told = sidecar->second.find(h.server);
+      if (told != sidecar->second.end() && h.at > told->second + limits_.drain) {
+        Broken(Rule::kDrain, h.at, request + " was sent to server " + std::to_string(h.server) + " " +
+                                       std::to_string(InMilliseconds(h.at - told->second)) +
+                                       " ms after it was told as leaving");
+      }
+      break;
+    }
+    case Kind::kEnded:
+      if (open != nullptr && NeverRan(h.outcome) && open->unproven > 0) --open->unproven;
+      break;
+    case Kind::kArrived:
+      Arrived(h);
+      break;
+    case Kind::kRan:
+      if (open == nullptr) break;
+      ++open->runs;
+      if (unsafe && open->runs > 1) Broken(Rule::kTwice, h.at, request + ", unsafe, ran twice");
+      if (unsafe && open->refused) Broken(Rule::kTwice, h.at, request + ", unsafe, ran after it was refused");
+      break;
+    case Kind::kTold:
+      if (h.leaving) {
+        leaving_[h.sidecar].try_emplace(h.server, h.at);
+      } else if (const auto sidecar = leaving_.find(h.sidecar); sidecar != leaving_.end()) {
+        sidecar->second.erase(h.server);
+      }
+      break;
+    case Kind::kBooted:
+      if (servers_.size() <= h.server) servers_.resize(h.server + 1);
+      servers_[h.server] = {h.at, h.work, {}, 0};
+      break;
+    case Kind::kAsked:
+    case Kind::kGotten:
+      break;
+  }
+}
+
+// What all sidecars together send to a cold server within the window, against what it can do by now.
+void Rules::Arrived(const Happening& h) {
+  if (h.server >= servers_.size()) return;
+  Server& server = servers_[h.server];
+  if (server.booted == TimePoint::min() || h.at - server.booted >= limits_.cold_time) return;
+  server.work.emplace_back(h.at, h.work);
+  server.sum += h.work;
+  while (h.at - server.work.front().first > limits_.fall_window) {
+    server.sum -= server.work.front().second;
+    server.work.pop_front();
+  }
+  const double age = InSeconds(h.at - server.booted) / InSeconds(limits_.cold_time);
+  const double warmth = limits_.cold_from + (1 - limits_.cold_from) * age;
+  const double can = warmth * server.capacity * InMilliseconds(limits_.fall_window);
+  if (server.sum > limits_.fall_multiple * can) {
+    Broken(Rule::kCold, h.at, "server " + std::to_string(h.server) + ", " + std::to_string(InSeconds(h.at - server.booted)) +
+                                  " s old, was sent " + std::to_string(server.sum / can) + " times what it can do");
+    server.work.clear();
+    server.sum = 0;
+  }
+}
+
+void Rules::End(TimePoint at) {
+  for (const auto& [id, open] : open_) {
+    if (open.answered || at <= open.until + limits_.grace) continue;
+    Broken(Rule::kLost, at, "request " + std::to_string(id) + " was never answered");
+  }
+}
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/rules.h
@@ -0,0 +1,81 @@
+// The four rules, checked over what happens, whichever world tells it. Each break says when, whom it concerns and what
+// had gone before.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lab/happening.h"
+
+namespace mothrack::lab {
+
+enum class Rule { kLost, kTwice, kDrain, kCold };
+const char* NameOf(Rule rule);
+
+struct Break {
+  Rule rule{};
+  double at_s = 0;
+  std::string what;
+};
+
+class Rules {
+ public:
+  struct Limits {
+    std::vector<bool> unsafe;               // by class
+    Duration grace{50'000};                 // beyond a request's time
+    Duration drain{550'000};                // after a leaving was told, with the grace of sockets
+    double fall_multiple = 4;               // of what a cold server can do
+    Duration fall_window{1'000'000};
+    double cold_from = 0.2;
+    Duration cold_time{15'000'000};
+  };
+  explicit Rules(Limits limits);
+
+  void Tell(const Happening& h);
+  // The end of the world: what is still owed by then and late is lost.
+  void End(TimePoint at);
+
+  // The first of each rule, and how many there were.
+  const std::vector<Break>& breaks() const { return first_; }
+  std::size_t count(Rule rule) const { return counts_[static_cast<std::size_t>(rule)]; }
+  std::size_t total() const;
+  std::size_t open() const { return open_.size(); }
+
+ private:
+  struct Open {
+    std::uint64_t sidecar = 0;
+    std::size_t cls = 0;
+    TimePoint until;
+    int unproven = 0;  // attempts that may have run, or may yet
+    int runs = 0;
+    bool answered = false;
+    bool refused = false;
+    bool left = false;
+    TimePoint told;    // its end
+  };
+  struct Server {
+    TimePoint booted = TimePoint::min();
+    double capacity = 0;  // warm, milliseconds of work a millisecond
+    std::deque<std::pair<TimePoint, double>> work;  // taken in within the window
+    double sum = 0;
+  };
+
+  void Broken(Rule rule, TimePoint at, std::string what);
+  void Forget(TimePoint now);
+  void Arrived(const Happening& h);
+
+  const Limits limits_;
+  std::unordered_map<std::uint64_t, Open> open_;
+  std::deque<std::pair<TimePoint, std::uint64_t>> ended_;  // kept for a while: their copies may still run
+  std::unordered_map<std::uint64_t, std::unordered_map<std::size_t, TimePoint>> leaving_;  // by sidecar and server
+  std::vector<Server> servers_;
+  std::vector<Break> first_;
+  std::array<std::size_t, 4> counts_{};
+};
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/scenario.cpp
@@ -0,0 +1,330 @@
+#include "lab/scenario.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <toml++/toml.h>
+
+#include "lab/sim.h"
+
+namespace mothrack::lab {
+namespace {
+
+constexpr std::array<const char*, 13> kKinds = {"cut-zone", "lose-zone", "silent",  "slow",  "errors", "flap", "replace",
+                                                "kill",     "restart",   "burst", "crowd", "stale",  "impatient"};
+constexpr std::array<const char*, 3> kEffects = {"safe", "keyed", "unsafe"};
+
+// One table: what is read from it is marked, what is left over is a fault.
+class Table {
+ public:
+  Table(const toml::table* table, std::string name) : table_(table), name_(std::move(name)) {}
+
+  [[noreturn]] void Fail(const std::string& key, const std::string& what) const {
+    throw ScenarioError("[" + name_ + "] " + key + ": " + what);
+  }
+  void Number(const char* key, double& value, double least, double most) {
+    const toml::node* node = Node(key);
+    if (node == nullptr) return;
+    const auto found = node->value<double>();
+    if (!found || !(*found >= least && *found <= most)) {
+      std::ostringstream range;
+      range << "give a number from " << least << " to " << most;
+      Fail(key, range.str());
+    }
+    value = *found;
+  }
+  void Count(const char* key, std::size_t& value, std::size_t most) {
+    double number = static_cast<double>(value);
+    Number(key, number, 1, static_cast<double>(most));
+    if (number != std::floor(number)) Fail(key, "give a whole number");
+    value = static_cast<std::size_t>(number);
+  }
+  void Text(const char* key, std::string& value) {
+    const toml::node* node = Node(key);
+    if (node == nullptr) return;
+    const auto found = node->value<std::string>();
+    if (!found) Fail(key, "give a text in quotes");
+    value = *found;
+  }
+  void Flag(const char* key, bool& value) {
+    const toml::node* node = Node(key);
+    if (node == nullptr) return;
+    const auto found = node->value<bool>();
+    if (!found) Fail(key, "give true or false");
+    value = *found;
+  }
+  template <std::size_t N>
+  std::size_t OneOf(const char* key, const std::array<const char*, N>& names) {
+    std::string name;
+    Text(key, name);
+    const auto it = std::find(names.begin(), names.end(), name);
+    std::string all;
+    for (const char* n : names) all += (all.empty() ? "" : ", ") + std::string(n);
+    if (it == names.end()) Fail(key, "'" + name + "' is none; give one of " + all);
+    return static_cast<std::size_t>(it - names.begin());
+  }
+  const toml::node* Node(const char* key) {
+    known_.insert(key);
+    return table_ == nullptr ? nullptr : table_->get(key);
+  }
+  void Done() const {
+    if (table_ == nullptr) return;
+    for (const auto& [key, node] : *table_) {
+      if (!known_.contains(std::string(key.str()))) Fail(std::string(key.str()), "there is no such key");
+    }
+  }
+
+ private:
+  const toml::table* table_;
+  const std::string name_;
+  std::set<std::string> known_;
+};
+
+void Lay(toml::table& root, const std::string& change) {
+  const auto dot = change.find('.');
+  const auto equals = change.find('=');
+  if (equals == std::string::npos || (dot != std::string::npos && dot > equals && false)) {
+    throw ScenarioError("--set " + change + ": give table.key=value");
+  }
+  const bool in_table = dot != std::string::npos && dot < equals;
+  const std::string table = in_table ? change.substr(0, dot) : "";
+  const std::string key = in_table ? change.substr(dot + 1, equals - dot - 1) : change.substr(0, equals);
+  try {
+    toml::table value = toml::parse("v = " + change.substr(equals + 1));
+    toml::table* into = &root;
+    if (in_table) {
+      if (!root.contains(table)) root.insert(table, toml::table{});
+      into = root.get(table)->as_table();
+      if (into == nullptr) throw ScenarioError("--set " + change + ": '" + table + "' is no table");
+    }
+    value.get("v")->visit([&](auto&& v) { into->insert_or_assign(key, v); });
+  } catch (const toml::parse_error& e) {
+    throw ScenarioError("--set " + change + ": " + std::string(e.description()));
+  }
+}
+
+ClassLoad ReadClass(const toml::table& table) {
+  ClassLoad c;
+  Table t(&table, "class");
+  t.Text("name", c.name);
+  if (c.name.empty()) t.Fail("name", "give one");
+  t.Number("share", c.share, 0, 1e6);
+  t.Number("work_ms", c.work_ms, 0.01, 1e5);
+  t.Number("work_cv", c.work_cv, 0, 10);
+  t.Number("aim_ms", c.aim_ms, 1, 1e6);
+  t.Number("deadline_ms", c.deadline_ms, 1, 1e6);
+  t.Number("worth", c.worth, 0, 1e6);
+  c.effect = static_cast<kestrellb::Effect>(t.OneOf("effect", kEffects));
+  if (c.deadline_ms < c.aim_ms) t.Fail("deadline_ms", "give no less than aim_ms");
+  t.Done();
+  return c;
+}
+
+Fault ReadFault(const toml::table& table, const Scenario& s) {
+  Fault f;
+  Table t(&table, "fault");
+  f.kind = static_cast<FaultKind>(t.OneOf("kind", kKinds));
+  t.Number("at_s", f.at_s, 0, s.length_s);
+  t.Number("len_s", f.len_s, 0, s.length_s);
+  t.Number("part", f.part, 0, 1);
+  t.Number("size", f.size, 0, 1000);
+  t.Text("zone", f.zone);
+  const bool zoned = f.kind == FaultKind::kCutZone || f.kind == FaultKind::kLoseZone;
+  if (zoned && std::find(s.zones.begin(), s.zones.end(), f.zone) == s.zones.end()) {
+    t.Fail("zone", "'" + f.zone + "' is none of [servers] zones");
+  }
+  if (f.kind == FaultKind::kFlap && f.size < 0.1) t.Fail("size", "give the seconds that it is away, at least 0.1");
+  t.Done();
+  return f;
+}
+
+}  // namespace
+
+const char* NameOf(FaultKind kind) { return kKinds.at(static_cast<std::size_t>(kind)); }
+
+Scenario ParseScenario(const std::string& text, const std::string& path, const std::vector<std::string>& changes) {
+  toml::table root;
+  try {
+    root = toml::parse(text, path);
+  } catch (const toml::parse_error& e) {
+    std::ostringstream where;
+    where << path << ":" << e.source().begin.line << ": " << e.description();
+    throw ScenarioError(where.str());
+  }
+  try {
+    for (const std::string& change : changes) Lay(root, change);
+    Scenario s;
+    Table top(&root, "top");
+    top.Text("name", s.name);
+    top.Text("about", s.about);
+    top.Number("length_s", s.length_s, 1, 36'000);
+    const auto part = [&](const char* name) {
+      const toml::node* node = top.Node(name);
+      if (node != nullptr && !node->is_table()) top.Fail(name, "give a table");
+      return Table(node == nullptr ? nullptr : node->as_table(), name);
+    };
+    Table fleet = part("fleet");
+    fleet.Count("sidecars", s.sidecars, 100'000);
+    fleet.Number("skew", s.skew, 0, 10);
+    fleet.Number("start_ms", s.start_ms, 0, 60'000);
+    fleet.Done();
+    Table servers = part("servers");
+    servers.Count("count", s.servers, 100'000);
+    if (const toml::node* zones = servers.Node("zones")) {
+      s.zones.clear();
+      if (!zones->is_array()) servers.Fail("zones", "give a list of names");
+      for (const toml::node& zone : *zones->as_array()) {
+        if (!zone.is_string()) servers.Fail("zones", "give a list of names");
+        s.zones.push_back(zone.value_or(""));
+      }
+      if (s.zones.empty()) servers.Fail("zones", "give at least one");
+    }
+    servers.Number("cores", s.cores, 1, 1024);
+    servers.Number("slowest", s.slowest, 0.01, 100);
+    servers.Number("fastest", s.fastest, 0.01, 100);
+    servers.Number("queue_per_core", s.queue_per_core, 0, 1e6);
+    servers.Number("thrash", s.thrash, 0, 10);
+    servers.Number("thrash_at", s.thrash_at, 0, 1e6);
+    servers.Number("cold_from", s.cold_from, 0.01, 1);
+    servers.Number("cold_s", s.cold_s, 0, 600);
+    servers.Number("pause_every_s", s.pause_every_s, 0.1, 1e6);
+    servers.Number("pause_ms", s.pause_ms, 0, 60'000);
+    servers.Number("error_rate", s.error_rate, 0, 1);
+    servers.Number("drain_s", s.drain_s, 0, 600);
+    servers.Done();
+    Table net = part("net");
+    net.Number("same_ms", s.same_ms, 0, 10'000);
+    net.Number("cross_ms", s.cross_ms, 0, 10'000);
+    net.Number("jitter", s.jitter, 0, 5);
+    net.Number("handshake_ms", s.handshake_ms, 0, 10'000);
+    net.Number("notice_from_s", s.notice_from_s, 0, 600);
+    net.Number("notice_to_s", s.notice_to_s, 0, 600);
+    if (s.notice_to_s < s.notice_from_s) net.Fail("notice_to_s", "give no less than notice_from_s");
+    net.Done();
+    Table load = part("load");
+    load.Number("use", s.use, 0, 100);
+    load.Number("wave", s.wave, 0, 1);
+    load.Number("wave_s", s.wave_s, 1, 36'000);
+    load.Number("retries", s.retries, 0, 100);
+    load.Number("backoff_ms", s.backoff_ms, 1, 60'000);
+    load.Done();
+    Table allow = part("allow");
+    allow.Count("max_attempts", s.max_attempts, 100);
+    allow.Flag("second_copies", s.second_copies);
+    allow.Done();
+    Table must = part("must");
+    double served = -1;
+    double recovers = -1;
+    must.Number("served_at_least", served, 0, 1);
+    must.Number("recovers_within_s", recovers, 0, 36'000);
+    must.Done();
+    if (served >= 0) s.served_at_least = served;
+    if (recovers >= 0) s.recovers_within_s = recovers;
+    const auto tables = [&](const char* name, const auto& read) {
+      const toml::node* node = top.Node(name);
+      if (node == nullptr) return;
+      if (!node->is_array()) top.Fail(name, "write [[" + std::string(name) + "]]");
+      for (const toml::node& entry : *node->as_array()) {
+        if (!entry.is_table()) top.Fail(name, "write [[" + std::string(name) + "]]");
+        read(*entry.as_table());
+      }
+    };
+    tables("class", [&](const toml::table& t) { s.classes.push_back(ReadClass(t)); });
+    tables("fault", [&](const toml::table& t) { s.faults.push_back(ReadFault(t, s)); });
+    top.Done();
+    if (s.name.empty()) top.Fail("name", "give one");
+    if (s.classes.empty()) top.Fail("class", "give at least one [[class]]");
+    double share = 0;
+    for (const ClassLoad& c : s.classes) share += c.share;
+    if (share <= 0) top.Fail("class", "give at least one a share");
+    return s;
+  } catch (const ScenarioError& e) {
+    throw ScenarioError(path + ": " + e.what());
+  }
+}
+
+Scenario LoadScenario(const std::string& path, const std::vector<std::string>& changes) {
+  std::ifstream file(path);
+  if (!file) throw ScenarioError(path + ": can't be read");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseScenario(text.str(), path, changes);
+}
+
+std::string ToToml(const Scenario& s) {
+  toml::array zones;
+  for (const std::string& zone : s.zones) zones.push_back(zone);
+  toml::table root{
+      {"name", s.name},
+      {"about", s.about},
+      {"length_s", s.length_s},
+      {"fleet", toml::table{{"sidecars", static_cast<std::int64_t>(s.sidecars)}, {"skew", s.skew}, {"start_ms", s.start_ms}}},
+      {"servers", toml::table{{"count", static_cast<std::int64_t>(s.servers)}, {"zones", zones}, {"cores", s.cores},
+                              {"slowest", s.slowest}, {"fastest", s.fastest}, {"queue_per_core", s.queue_per_core},
+                              {"thrash", s.thrash}, {"thrash_at", s.thrash_at}, {"cold_from", s.cold_from},
+                              {"cold_s", s.cold_s}, {"pause_every_s", s.pause_every_s}, {"pause_ms", s.pause_ms},
+                              {"error_rate", s.error_rate}, {"drain_s", s.drain_s}}},
+      {"net", toml::table{{"same_ms", s.same_ms}, {"cross_ms", s.cross_ms}, {"jitter", s.jitter},
+                          {"handshake_ms", s.handshake_ms}, {"notice_from_s", s.notice_from_s},
+                          {"notice_to_s", s.notice_to_s}}},
+      {"load", toml::table{{"use", s.use}, {"wave", s.wave}, {"wave_s", s.wave_s}, {"retries", s.retries},
+                           {"backoff_ms", s.backoff_ms}}},
+      {"allow", toml::table{{"max_attempts", static_cast<std::int64_t>(s.max_attempts)}, {"second_copies", s.second_copies}}}};
+  toml::table must;
+  if (s.served_at_least) must.insert("served_at_least", *s.served_at_least);
+  if (s.recovers_within_s) must.insert("recovers_within_s", *s.recovers_within_s);
+  if (!must.empty()) root.insert("must", must);
+  toml::array classes;
+  for (const ClassLoad& c : s.classes) {
+    classes.push_back(toml::table{{"name", c.name}, {"share", c.share}, {"work_ms", c.work_ms}, {"work_cv", c.work_cv},
+                                  {"aim_ms", c.aim_ms}, {"deadline_ms", c.deadline_ms}, {"worth", c.worth},
+                                  {"effect", kEffects.at(static_cast<std::size_t>(c.effect))}});
+  }
+  root.insert("class", classes);
+  toml::array faults;
+  for (const Fault& f : s.faults) {
+    toml::table fault{{"kind", NameOf(f.kind)}, {"at_s", f.at_s}, {"len_s", f.len_s}, {"part", f.part}, {"size", f.size}};
+    if (!f.zone.empty()) fault.insert("zone", f.zone);
+    faults.push_back(fault);
+  }
+  if (!faults.empty()) root.insert("fault", faults);
+  std::ostringstream text;
+  text << root << '\n';
+  return text.str();
+}
+
+double Scenario::FaultsEnd() const {
+  double end = 0;
+  for (const Fault& f : faults) end = std::max(end, f.at_s + f.len_s);
+  return end;
+}
+
+kestrellb::Settings Scenario::SettingsOf(std::size_t self) const {
+  kestrellb::Settings settings;
+  for (const ClassLoad& c : classes) {
+    kestrellb::RequestClass cls;
+    cls.name = c.name;
+    cls.aim = Milliseconds(c.aim_ms);
+    cls.deadline = Milliseconds(c.deadline_ms);
+    cls.effect = c.effect;
+    cls.worth = c.worth;
+    cls.key_window = Milliseconds(2 * c.deadline_ms);
+    settings.classes.push_back(cls);
+  }
+  settings.zone = zones[self % zones.size()];
+  settings.balancers = sidecars;
+  settings.self = self;
+  settings.limits.max_attempts = max_attempts;
+  settings.limits.second_copies = second_copies;
+  settings.limits.connect_timeout = std::chrono::milliseconds(200);
+  settings.rules.cold_from = cold_from;
+  settings.rules.cold_time = SecondsOf(std::max(cold_s, 0.001));
+  settings.rules.fall_multiple = 4;
+  settings.rules.fall_window = std::chrono::seconds(1);
+  return settings;
+}
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/scenario.h
@@ -0,0 +1,116 @@
+// What is played: a world, its load, the faults over time, and what must hold. Read from TOML; every fault of a file names
+// table, key and mend. Times are milliseconds or seconds, as the keys say; shares are of 1.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "kestrellb/balancer.h"
+
+namespace mothrack::lab {
+
+class ScenarioError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+enum class FaultKind {
+  kCutZone,    // a zone is cut off from the others, silently
+  kLoseZone,   // a zone's machines vanish silently, and come back cold
+  kSilent,     // a share of the servers swallows all it is sent
+  kSlow,       // a share of the servers takes `size` times as long
+  kErrors,     // a share of the servers answers `size` of its calls with an error
+  kFlap,       // a share of the servers dies and is back after `size` seconds, again and again
+  kReplace,    // a share of the servers is replaced, one after the other over the time: told as leaving, then gone
+  kKill,       // a share of the sidecars is killed at once and started anew
+  kRestart,    // all sidecars have a planned restart, one after the other over the time
+  kBurst,      // `size` times the load
+  kCrowd,      // `size` times the load of a share of the sidecars
+  kStale,      // discovery tells nothing
+  kImpatient,  // a share of the clients leaves early and comes again at once
+};
+
+struct Fault {
+  FaultKind kind{};
+  double at_s = 0;
+  double len_s = 0;
+  double part = 0;
+  double size = 1;
+  std::string zone{};
+};
+
+struct ClassLoad {
+  std::string name{};
+  double share = 1;
+  double work_ms = 60;  // of a core of speed 1
+  double work_cv = 0.5;
+  double aim_ms = 400;
+  double deadline_ms = 1000;
+  double worth = 1;
+  kestrellb::Effect effect = kestrellb::Effect::kSafe;
+};
+
+struct Scenario {
+  std::string name{};
+  std::string about{};
+  double length_s = 60;
+  // Sidecars, and how unevenly traffic is spread over them: the coefficient of variation of their rates.
+  std::size_t sidecars = 20;
+  double skew = 0.5;
+  double start_ms = 300;  // from a kill until it listens again
+  // Servers, dealt to the zones in turn.
+  std::size_t servers = 12;
+  std::vector<std::string> zones = {"bole-hall", "kality-hall"};
+  double cores = 3;
+  double slowest = 1;  // speeds are dealt evenly from here
+  double fastest = 1.6;
+  double queue_per_core = 25;
+  double thrash = 0.3;  // loss of speed for each call a core beyond thrash_at
+  double thrash_at = 6;
+  double cold_from = 0.2;
+  double cold_s = 15;
+  double pause_every_s = 8;
+  double pause_ms = 40;
+  double error_rate = 0.0005;
+  // The network: one way.
+  double same_ms = 0.25;
+  double cross_ms = 2;
+  double jitter = 0.25;
+  double handshake_ms = 1.5;
+  // Discovery tells every sidecar by itself, this late, as drawn once for each.
+  double notice_from_s = 0.3;
+  double notice_to_s = 1.5;
+  double drain_s = 6;  // from when a server is told as leaving until it ends
+  // Load, as a share of what the warm servers can do.
+  double use = 0.6;
+  double wave = 0;  // its swing
+  double wave_s = 30;
+  std::vector<ClassLoad> classes;
+  // Clients: further tries, while their time lasts.
+  double retries = 1;
+  double backoff_ms = 80;
+  std::size_t max_attempts = 4;
+  bool second_copies = true;
+  std::vector<Fault> faults;
+  // What must hold beside the rules.
+  std::optional<double> served_at_least;
+  std::optional<double> recovers_within_s;
+
+  // What the sidecars are told of it.
+  kestrellb::Settings SettingsOf(std::size_t self) const;
+  // When the last fault is over, seconds.
+  double FaultsEnd() const;
+};
+
+// `changes`: "table.key=value" each, laid over the file.
+Scenario LoadScenario(const std::string& path, const std::vector<std::string>& changes = {});
+Scenario ParseScenario(const std::string& text, const std::string& path, const std::vector<std::string>& changes = {});
+// As a file that gives the same scenario.
+std::string ToToml(const Scenario& scenario);
+const char* NameOf(FaultKind kind);
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/server.cpp
@@ -0,0 +1,78 @@
+#include "lab/server.h"
+
+#include <algorithm>
+
+namespace mothrack::lab {
+
+Server::Server(Simulator& sim, const Scenario& scenario, Random random, double speed)
+    : sim_(sim), scenario_(scenario), random_(random), speed_(speed) {
+  pause_at_ = sim_.now() + SecondsOf(random_.Exponential(scenario_.pause_every_s));
+}
+
+double Server::warmth() const {
+  if (!ever_booted_ || scenario_.cold_s <= 0) return 1;
+  const double age = InSeconds(sim_.now() - booted_) / scenario_.cold_s;
+  return std::min(1.0, scenario_.cold_from + (1 - scenario_.cold_from) * age);
+}
+
+bool Server::Take(Job job) {
+  const auto most = static_cast<std::size_t>(scenario_.cores * (1 + scenario_.queue_per_core));
+  if (draining_ || held() >= most) return false;
+  queue_.push_back(std::move(job));
+  Begin();
+  return true;
+}
+
+void Server::Begin() {
+  while (!queue_.empty() && static_cast<double>(running_.size()) < scenario_.cores) {
+    Job job = std::move(queue_.front());
+    queue_.pop_front();
+    const double crowd = static_cast<double>(held() + 1) / scenario_.cores;
+    const double thrash = 1 + scenario_.thrash * std::max(0.0, crowd / std::max(scenario_.thrash_at, 1e-9) - 1);
+    double ms = job.work / (speed_ * warmth()) * slowed_ * thrash;
+    if (scenario_.pause_ms > 0 && sim_.now() >= pause_at_) {
+      ms += scenario_.pause_ms;
+      pause_at_ = sim_.now() + SecondsOf(random_.Exponential(scenario_.pause_every_s));
+    }
+    const bool fails = random_.Chance(std::max(failing_, scenario_.error_rate));
+    const std::uint64_t id = job.id;
+    if (job.begun) job.begun();
+    running_.emplace(id, std::move(job));
+    sim_.After(Milliseconds(ms), [this, id, fails, life = life_] {
+      if (life != life_) return;
+      const auto it = running_.find(id);
+      const Job done = std::move(it->second);
+      running_.erase(it);
+      if (done.ended) done.ended(fails ? End::kError : End::kDone);
+      Begin();
+    });
+  }
+}
+
+void Server::Cancel(std::uint64_t id) {
+  const auto it = std::find_if(queue_.begin(), queue_.end(), [id](const Job& job) { return job.id == id; });
+  if (it != queue_.end()) queue_.erase(it);
+}
+
+void Server::Kill() {
+  up_ = draining_ = false;
+  ++life_;
+  std::vector<Job> all;
+  for (auto& job : queue_) all.push_back(std::move(job));
+  for (auto& [id, job] : running_) all.push_back(std::move(job));
+  queue_.clear();
+  running_.clear();
+  // In an order that does not hang on a table's.
+  std::sort(all.begin(), all.end(), [](const Job& a, const Job& b) { return a.id < b.id; });
+  for (const Job& job : all) {
+    if (job.ended) job.ended(End::kReset);
+  }
+}
+
+void Server::Boot() {
+  up_ = ever_booted_ = true;
+  draining_ = false;
+  booted_ = sim_.now();
+}
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/server.h
@@ -0,0 +1,66 @@
+// A page server: cores that work through a bounded queue, slower when crowded, cold after its start, pausing now and then.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <unordered_map>
+
+#include "lab/scenario.h"
+#include "lab/sim.h"
+
+namespace mothrack::lab {
+
+class Server {
+ public:
+  enum class End { kDone, kError, kReset };
+  struct Job {
+    std::uint64_t id = 0;
+    double work = 0;  // milliseconds of a core of speed 1
+    std::function<void()> begun;
+    std::function<void(End)> ended;
+  };
+
+  Server(Simulator& sim, const Scenario& scenario, Random random, double speed);
+
+  // False: turned away unseen, as it is full or drains.
+  bool Take(Job job);
+  // Nobody waits any more: what has not begun never will.
+  void Cancel(std::uint64_t id);
+  // Its process ends, with all it had.
+  void Kill();
+  void Boot();
+  void Drain() { draining_ = true; }
+
+  bool up() const { return up_; }
+  bool draining() const { return draining_; }
+  double warmth() const;
+  // Milliseconds of work a millisecond: when warm and left alone, and what it could do now.
+  double capacity() const { return scenario_.cores * speed_; }
+  double able() const { return up_ && !draining_ ? capacity() * warmth() / slowed_ : 0; }
+  std::size_t held() const { return queue_.size() + running_.size(); }
+
+  // Trouble.
+  void Slow(double times) { slowed_ = times; }
+  void Fail(double share) { failing_ = share; }
+
+ private:
+  void Begin();
+
+  Simulator& sim_;
+  const Scenario& scenario_;
+  Random random_;
+  const double speed_;
+  bool up_ = true;
+  bool draining_ = false;
+  bool ever_booted_ = false;
+  TimePoint booted_{};
+  double slowed_ = 1;
+  double failing_ = 0;
+  TimePoint pause_at_{};
+  std::uint64_t life_ = 0;
+  std::deque<Job> queue_;
+  std::unordered_map<std::uint64_t, Job> running_;
+};
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/sim.h
@@ -0,0 +1,113 @@
+// Made-up time: events in the order of their moments, and of their making where these are equal. One thread, no clock of
+// the machine's: the same seed gives the same order.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "core/timers.h"
+
+namespace mothrack::lab {
+
+inline Duration Milliseconds(double ms) { return Duration(static_cast<Duration::rep>(std::llround(ms * 1000))); }
+inline Duration SecondsOf(double s) { return Milliseconds(s * 1000); }
+inline double InSeconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
+inline double InSeconds(TimePoint t) { return InSeconds(t.time_since_epoch()); }
+inline double InMilliseconds(Duration d) { return static_cast<double>(d.count()) / 1e3; }
+
+// Numbers drawn from a seed, the same with every standard library: its distributions are not.
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : state_(seed) { Next(); }
+  // Another one for another purpose: what one draws more does not move the others.
+  Random Fork() { return Random(Next()); }
+  std::uint64_t Next() {  // SplitMix64
+    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+    return z ^ (z >> 31);
+  }
+  double Uniform() { return static_cast<double>(Next() >> 11) * 0x1p-53; }
+  double Between(double low, double high) { return low + (high - low) * Uniform(); }
+  bool Chance(double p) { return Uniform() < p; }
+  std::size_t Below(std::size_t n) { return static_cast<std::size_t>(Uniform() * static_cast<double>(n)); }
+  double Exponential(double mean) { return -mean * std::log(1 - Uniform()); }
+  // Of mean 1 and this coefficient of variation.
+  double LogNormal(double cv) {
+    if (cv <= 0) return 1;
+    const double s2 = std::log(1 + cv * cv);
+    const double normal = std::sqrt(-2 * std::log(1 - Uniform())) * std::cos(6.283185307179586 * Uniform());
+    return std::exp(std::sqrt(s2) * normal - s2 / 2);
+  }
+
+ private:
+  std::uint64_t state_;
+};
+
+class Simulator {
+ public:
+  using Act = std::function<void()>;
+
+  TimePoint now() const { return now_; }
+  std::uint64_t events() const { return events_; }
+
+  void At(TimePoint at, Act act) {
+    heap_.push_back({std::max(at, now_), ++last_, std::move(act)});
+    std::push_heap(heap_.begin(), heap_.end(), Later);
+  }
+  void After(Duration wait, Act act) { At(now_ + wait, std::move(act)); }
+
+  // Plays all that is due until then, and what follows from it.
+  void RunUntil(TimePoint end) {
+    while (!heap_.empty() && heap_.front().at <= end) {
+      std::pop_heap(heap_.begin(), heap_.end(), Later);
+      Event next = std::move(heap_.back());
+      heap_.pop_back();
+      now_ = next.at;
+      ++events_;
+      next.act();
+    }
+    now_ = end;
+  }
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::uint64_t number;
+    Act act;
+  };
+  static bool Later(const Event& a, const Event& b) {
+    return a.at != b.at ? a.at > b.at : a.number > b.number;
+  }
+
+  std::vector<Event> heap_;
+  TimePoint now_{};
+  std::uint64_t last_ = 0;
+  std::uint64_t events_ = 0;
+};
+
+// For a dispatcher in made-up time.
+class SimAlarm : public Alarm {
+ public:
+  explicit SimAlarm(Simulator& sim) : sim_(sim) {}
+  TimePoint Now() const override { return sim_.now(); }
+  void Set(TimePoint at, std::function<void()> due) override {
+    *latest_ += 1;
+    sim_.At(at, [due = std::move(due), number = *latest_, latest = std::weak_ptr<std::uint64_t>(latest_)] {
+      const auto still = latest.lock();
+      if (still && *still == number) due();
+    });
+  }
+
+ private:
+  Simulator& sim_;
+  // Shared with what is set: gone with this object, and only the latest counts.
+  std::shared_ptr<std::uint64_t> latest_ = std::make_shared<std::uint64_t>(0);
+};
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/world.cpp
@@ -0,0 +1,631 @@
+#include "lab/world.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace mothrack::lab {
+namespace {
+
+using kestrellb::UpstreamState;
+
+// Moments of this world count from here: a time of zero means nothing to the program either.
+constexpr Duration kEpoch = std::chrono::seconds(1000);
+// Of what vanishes silently discovery hears after this long.
+constexpr Duration kSilentNotice = std::chrono::seconds(5);
+// A new server is there so long after the one that it replaces was told as leaving.
+constexpr Duration kReplacement = std::chrono::seconds(1);
+// A planned stop waits for what is open, but no longer than the longest deadline here and some.
+constexpr Duration kStopPatience = std::chrono::seconds(5);
+constexpr double kMeanRateFloor = 0.02;  // of the mean: nobody sends nothing
+
+Ending EndingOf(const Final& final) {
+  switch (final.kind) {
+    case Final::Kind::kServed:
+      return Ending::kServed;
+    case Final::Kind::kRefused:
+      return Ending::kRefused;
+    case Final::Kind::kFailed:
+      break;
+  }
+  return Ending::kFailed;
+}
+
+// Does now and then what a rule forbids.
+class Saboteur : public Transport {
+ public:
+  Saboteur(Carrier& inner, const Scenario& scenario, Planted planted, Random random,
+           std::function<std::optional<std::size_t>(bool leaving)> find)
+      : inner_(inner), scenario_(scenario), planted_(planted), random_(random), find_(std::move(find)) {}
+
+  void Apply(const std::string& uid, const Location& location) override { inner_.Apply(uid, location); }
+  void Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration timeout,
+            ExchangeHooks hooks) override {
+    const auto& wish = static_cast<const Wish&>(*message);
+    const bool unsafe = scenario_.classes[wish.cls].effect == kestrellb::Effect::kUnsafe;
+    std::string to = uid;
+    if (planted_ == Planted::kResend && unsafe && random_.Chance(0.02)) {
+      inner_.Send(ExchangeId{static_cast<std::uint64_t>(id) | 1ULL << 62}, uid, message, timeout, {});
+    }
+    if (planted_ == Planted::kAfterDrain && random_.Chance(0.02)) {
+      if (const auto leaving = find_(true)) to = Carrier::NameOf(*leaving);
+    }
+    if (planted_ == Planted::kColdFlood) {
+      if (const auto cold = find_(false)) to = Carrier::NameOf(*cold);
+    }
+    inner_.Send(id, to, std::move(message), timeout, std::move(hooks));
+  }
+  void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override { inner_.Probe(id, uid, std::move(on_end)); }
+  void Cancel(ExchangeId id) override { inner_.Cancel(id); }
+  void CloseIdle(const std::string& uid) override { inner_.CloseIdle(uid); }
+
+ private:
+  Carrier& inner_;
+  const Scenario& scenario_;
+  const Planted planted_;
+  Random random_;
+  const std::function<std::optional<std::size_t>(bool)> find_;
+};
+
+Rules::Limits LimitsOf(const Scenario& scenario) {
+  Rules::Limits limits;
+  for (const ClassLoad& c : scenario.classes) limits.unsafe.push_back(c.effect == kestrellb::Effect::kUnsafe);
+  limits.cold_from = scenario.cold_from;
+  limits.cold_time = SecondsOf(scenario.cold_s);
+  return limits;
+}
+
+}  // namespace
+
+struct World::Hash {
+  Hash() { XXH64_reset(state.get(), 0); }
+  void Add(const Happening& h) {
+    const std::uint64_t words[] = {static_cast<std::uint64_t>(h.kind),
+                                   static_cast<std::uint64_t>(h.at.time_since_epoch().count()),
+                                   h.sidecar,
+                                   h.request,
+                                   h.server,
+                                   static_cast<std::uint64_t>(h.ending) << 8 | static_cast<std::uint64_t>(h.outcome)};
+    XXH64_update(state.get(), words, sizeof words);
+  }
+  struct Free {
+    void operator()(XXH64_state_t* s) const { XXH64_freeState(s); }
+  };
+  std::unique_ptr<XXH64_state_t, Free> state{XXH64_createState()};
+};
+
+// What a client wants, over all of its tries.
+struct World::Want {
+  std::uint64_t wish = 0;
+  std::size_t cls = 0;
+  TimePoint asked;
+  TimePoint until;
+  double work = 0;
+  int tries = 0;
+  int most_tries = 1;
+  bool impatient = false;
+};
+
+struct World::Sidecar {
+  std::size_t number = 0;
+  std::uint64_t id = 0;  // of this life
+  std::uint32_t lives = 0;
+  std::size_t zone = 0;
+  double rate = 0;   // wishes a second
+  double times = 1;  // in a crowd
+  Duration notice{};
+  Random random{0};
+  bool open = false;  // its application sends
+  std::unique_ptr<Carrier> carrier;
+  std::unique_ptr<Saboteur> saboteur;
+  std::unique_ptr<Dispatcher> dispatcher;
+  std::shared_ptr<int> life;
+  std::map<std::uint64_t, std::shared_ptr<Want>> wants;  // by wish
+  kestrellb::Counts told;                                // at the last second
+  std::uint64_t connects = 0;
+};
+
+World::World(const Scenario& scenario, std::uint64_t seed, Planted planted)
+    : scenario_(scenario),
+      planted_(planted),
+      random_(seed),
+      arrivals_(random_.Fork()),
+      network_(random_.Fork()),
+      figures_(scenario_),
+      rules_(LimitsOf(scenario_)),
+      cut_(scenario.zones.size()),
+      lost_(scenario.zones.size()),
+      hash_(std::make_unique<Hash>()) {
+  sim_.RunUntil(TimePoint(kEpoch));
+  for (std::size_t i = 0; i < scenario_.servers; ++i) {
+    const double along = scenario_.servers > 1 ? static_cast<double>(i / scenario_.zones.size()) /
+                                                     std::max(1.0, static_cast<double>((scenario_.servers - 1) / scenario_.zones.size()))
+                                               : 0;
+    const double speed = scenario_.slowest + (scenario_.fastest - scenario_.slowest) * std::min(1.0, along);
+    AddServer(i % scenario_.zones.size(), speed);
+    warm_ += machines_.back().server->capacity();
+  }
+  double share = 0;
+  for (const ClassLoad& c : scenario_.classes) share += c.share;
+  for (const ClassLoad& c : scenario_.classes) work_ += c.share / share * c.work_ms;
+  rate_ = scenario_.use * warm_ * 1000 / work_;
+
+  std::vector<double> weights;
+  Random skew = random_.Fork();
+  for (std::size_t i = 0; i < scenario_.sidecars; ++i) {
+    weights.push_back(std::max(kMeanRateFloor, skew.LogNormal(scenario_.skew)));
+  }
+  const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+  for (std::size_t i = 0; i < scenario_.sidecars; ++i) {
+    auto sidecar = std::make_unique<Sidecar>();
+    sidecar->number = i;
+    sidecar->zone = i % scenario_.zones.size();
+    sidecar->rate = rate_ * weights[i] / sum;
+    sidecar->random = random_.Fork();
+    sidecar->notice = SecondsOf(sidecar->random.Between(scenario_.notice_from_s, scenario_.notice_to_s));
+    sidecars_.push_back(std::move(sidecar));
+    Start(*sidecars_.back());
+  }
+  for (const Fault& fault : scenario_.faults) Plan(fault);
+  EachSecond();
+}
+
+World::~World() {
+  for (const auto& sidecar : sidecars_) sidecar->dispatcher.reset();
+}
+
+Outcome World::Run() {
+  const TimePoint end = TimePoint(kEpoch) + SecondsOf(scenario_.length_s);
+  sim_.RunUntil(end);
+  // Nobody asks any more, and what was asked comes to its end.
+  for (const auto& sidecar : sidecars_) sidecar->open = false;
+  Duration longest{};
+  for (const ClassLoad& c : scenario_.classes) longest = std::max(longest, Milliseconds(c.deadline_ms));
+  sim_.RunUntil(end + longest + std::chrono::seconds(1));
+  rules_.End(TimePoint(sim_.now() - kEpoch));
+  figures_.Finish();
+  Outcome outcome;
+  outcome.digest = XXH64_digest(hash_->state.get());
+  outcome.happenings = happenings_;
+  outcome.events = sim_.events();
+  outcome.requests = taken_;
+  outcome.breaks = rules_.breaks();
+  outcome.broken = rules_.total();
+  for (const auto& sidecar : sidecars_) {
+    if (sidecar->dispatcher) outcome.still_open += sidecar->dispatcher->owed();
+  }
+  return outcome;
+}
+
+// ---- Links ----
+
+Duration World::Delay(std::size_t zone, std::size_t server) {
+  const double mean = zone == machines_[server].zone ? scenario_.same_ms : scenario_.cross_ms;
+  return Milliseconds(mean * network_.LogNormal(scenario_.jitter));
+}
+
+bool World::Passes(std::size_t zone, std::size_t server) const {
+  const Machine& machine = machines_[server];
+  if (machine.silent || lost_[machine.zone]) return false;
+  return zone == machine.zone || (!cut_[zone] && !cut_[machine.zone]);
+}
+
+void World::Tell(Happening h) {
+  h.at = TimePoint(sim_.now() - kEpoch);
+  if (h.until != TimePoint{}) h.until = TimePoint(h.until - kEpoch);
+  ++happenings_;
+  hash_->Add(h);
+  rules_.Tell(h);
+  figures_.Tell(h);
+}
+
+// ---- Servers and lists ----
+
+std::size_t World::AddServer(std::size_t zone, double speed) {
+  Machine machine;
+  machine.zone = zone;
+  machine.speed = speed;
+  machine.server = std::make_unique<Server>(sim_, scenario_, random_.Fork(), speed);
+  machines_.push_back(std::move(machine));
+  return machines_.size() - 1;
+}
+
+void World::KillServer(std::size_t server) {
+  machines_[server].server->Kill();
+  for (const auto& sidecar : sidecars_) {
+    if (sidecar->carrier && Passes(sidecar->zone, server)) sidecar->carrier->Broke(server);
+  }
+}
+
+void World::BootServer(std::size_t server) {
+  Machine& machine = machines_[server];
+  machine.server->Boot();
+  machine.started = sim_.now();
+  machine.boot_ms = std::chrono::duration_cast<std::chrono::milliseconds>(sim_.now().time_since_epoch()).count();
+  machine.state = UpstreamState::kServing;
+  Happening h;
+  h.kind = Happening::Kind::kBooted;
+  h.server = server;
+  h.work = machine.server->capacity();
+  Tell(h);
+  Changed(server);
+}
+
+void World::Changed(std::size_t server) {
+  for (const auto& sidecar : sidecars_) {
+    sim_.After(sidecar->notice, [this, &sidecar = *sidecar, server] { Deliver(sidecar, server); });
+  }
+}
+
+MembershipList World::ListOf(const std::vector<std::size_t>& servers, kestrellb::MembershipUpdate::Kind kind) const {
+  MembershipList list;
+  list.update.kind = kind;
+  for (const std::size_t server : servers) {
+    const Machine& machine = machines_[server];
+    kestrellb::UpstreamInfo info;
+    info.id.value = Carrier::NameOf(server);
+    info.zone = scenario_.zones[machine.zone];
+    info.kind = machine.speed > (scenario_.slowest + scenario_.fastest) / 2 ? "fast" : "slow";
+    info.state = machine.state;
+    info.started = machine.started;
+    list.update.upstreams.push_back(info);
+    list.locations[info.id.value] = {machine.state, {}, machine.boot_ms};
+  }
+  return list;
+}
+
+void World::Deliver(Sidecar& sidecar, std::size_t server) {
+  if (stale_) {
+    sim_.After(std::chrono::milliseconds(500), [this, &sidecar, server] { Deliver(sidecar, server); });
+    return;
+  }
+  if (!sidecar.dispatcher) return;  // it hears of all when it starts
+  Happening h;
+  h.kind = Happening::Kind::kTold;
+  h.sidecar = sidecar.id;
+  h.server = server;
+  h.leaving = machines_[server].state != UpstreamState::kServing;
+  Tell(h);
+  sidecar.dispatcher->Apply(ListOf({server}, kestrellb::MembershipUpdate::Kind::kChanges));
+}
+
+// ---- Sidecars and clients ----
+
+void World::Start(Sidecar& sidecar) {
+  ++sidecar.lives;
+  sidecar.id = static_cast<std::uint64_t>(sidecar.lives) << 32 | sidecar.number;
+  sidecar.life = std::make_shared<int>(0);
+  sidecar.told = {};
+  sidecar.connects = 0;
+  sidecar.carrier =
+      std::make_unique<Carrier>(sim_, static_cast<Links&>(*this), scenario_, sidecar.id, sidecar.zone, sidecar.random.Fork());
+  Transport* transport = sidecar.carrier.get();
+  if (planted_ != Planted::kNone) {
+    sidecar.saboteur = std::make_unique<Saboteur>(
+        *sidecar.carrier, scenario_, planted_, sidecar.random.Fork(), [this](bool leaving) -> std::optional<std::size_t> {
+          for (std::size_t i = machines_.size(); i-- > 0;) {
+            const Machine& m = machines_[i];
+            if (leaving ? m.state == UpstreamState::kDraining
+                        : m.started && m.server->up() && m.server->warmth() < 1 && m.state == UpstreamState::kServing) {
+              return i;
+            }
+          }
+          return std::nullopt;
+        });
+    transport = sidecar.saboteur.get();
+  }
+  sidecar.dispatcher =
+      std::make_unique<Dispatcher>(std::make_unique<SimAlarm>(sim_), scenario_.SettingsOf(sidecar.number),
+                                   sidecar.random.Next(), *transport, log_);
+  std::vector<std::size_t> all;
+  for (std::size_t i = 0; i < machines_.size(); ++i) {
+    if (machines_[i].state != UpstreamState::kGone) all.push_back(i);
+  }
+  sidecar.dispatcher->Apply(ListOf(all, kestrellb::MembershipUpdate::Kind::kRestored));
+  sidecar.open = true;
+  NextArrival(sidecar);
+}
+
+void World::Stop(Sidecar& sidecar) {
+  if (!sidecar.dispatcher) return;
+  Happening h;
+  h.kind = Happening::Kind::kKilled;
+  h.sidecar = sidecar.id;
+  Tell(h);
+  sidecar.open = false;
+  sidecar.dispatcher.reset();
+  sidecar.saboteur.reset();
+  sidecar.carrier.reset();
+  sidecar.life.reset();
+  const auto wants = std::exchange(sidecar.wants, {});
+  for (const auto& [wish, want] : wants) Close(*want, Ending::kFailed);
+  sim_.After(Milliseconds(scenario_.start_ms), [this, &sidecar] {
+    if (!sidecar.dispatcher) Start(sidecar);
+  });
+}
+
+void World::PlannedStop(Sidecar& sidecar) {
+  if (!sidecar.dispatcher || !sidecar.open) return;
+  sidecar.open = false;
+  AwaitEmpty(sidecar, sidecar.life, sim_.now() + kStopPatience);
+}
+
+void World::AwaitEmpty(Sidecar& sidecar, std::weak_ptr<int> life, TimePoint most) {
+  if (life.expired()) return;
+  if (sidecar.dispatcher->open() == 0 || sim_.now() >= most) return Stop(sidecar);
+  sim_.After(std::chrono::milliseconds(100), [this, &sidecar, life, most] { AwaitEmpty(sidecar, life, most); });
+}
+
+double World::Load() const {
+  const double s = InSeconds(TimePoint(sim_.now() - kEpoch));
+  return burst_ * (1 + scenario_.wave * std::sin(6.283185307179586 * s / scenario_.wave_s));
+}
+
+void World::NextArrival(Sidecar& sidecar) {
+  const double rate = sidecar.rate * sidecar.times * Load();
+  // Looked at again where the rate may have risen meanwhile.
+  const double wait = sidecar.random.Exponential(1 / std::max(rate, 1e-9));
+  constexpr double kMostWait = 0.25;
+  sim_.After(SecondsOf(std::min(wait, kMostWait)), [this, &sidecar, wait, life = std::weak_ptr(sidecar.life)] {
+    if (life.expired() || !sidecar.open) return;
+    if (wait <= kMostWait) {
+      double draw = 0;
+      for (const ClassLoad& c : scenario_.classes) draw += c.share;
+      draw *= arrivals_.Uniform();
+      std::size_t cls = 0;
+      while (cls + 1 < scenario_.classes.size() && draw >= scenario_.classes[cls].share) {
+        draw -= scenario_.classes[cls++].share;
+      }
+      const ClassLoad& c = scenario_.classes[cls];
+      auto want = std::make_shared<Want>();
+      want->wish = ++last_wish_;
+      want->cls = cls;
+      want->asked = sim_.now();
+      want->until = sim_.now() + Milliseconds(c.deadline_ms);
+      want->work = c.work_ms * arrivals_.LogNormal(c.work_cv);
+      want->impatient = impatient_ > 0 && arrivals_.Chance(impatient_);
+      const double retries = scenario_.retries;
+      want->most_tries = 1 + static_cast<int>(retries) + (arrivals_.Chance(retries - std::floor(retries)) ? 1 : 0);
+      if (want->impatient) want->most_tries += 2;
+      sidecar.wants[want->wish] = want;
+      Happening h;
+      h.kind = Happening::Kind::kAsked;
+      h.request = want->wish;
+      h.cls = cls;
+      Tell(h);
+      Ask(sidecar, want);
+    }
+    NextArrival(sidecar);
+  });
+}
+
+void World::Ask(Sidecar& sidecar, std::shared_ptr<Want> want) {
+  ++want->tries;
+  const std::uint64_t request = ++last_request_;
+  ++taken_;
+  auto wish = std::make_shared<Wish>();
+  wish->request = request;
+  wish->cls = want->cls;
+  wish->work = want->work;
+  Happening h;
+  h.kind = Happening::Kind::kTaken;
+  h.sidecar = sidecar.id;
+  h.request = request;
+  h.cls = want->cls;
+  h.until = want->until;
+  Tell(h);
+  NewRequest taken;
+  taken.request_class = kestrellb::ClassId{want->cls};
+  taken.deadline = want->until;
+  taken.message = wish;
+  taken.on_final = [this, &sidecar, want, request](Final final) { Heard(sidecar, want, request, final); };
+  const auto id = sidecar.dispatcher->Take(std::move(taken));
+  if (!want->impatient || !id) return;
+  // Leaves at a third of its aim, and comes again at once.
+  sim_.After(Milliseconds(scenario_.classes[want->cls].aim_ms / 3),
+             [this, &sidecar, want, request, id, tries = want->tries, life = std::weak_ptr(sidecar.life)] {
+               if (life.expired() || !sidecar.wants.contains(want->wish) || want->tries != tries) return;
+               if (want->tries >= want->most_tries) return;
+               Happening left;
+               left.kind = Happening::Kind::kLeft;
+               left.sidecar = sidecar.id;
+               left.request = request;
+               Tell(left);
+               sidecar.dispatcher->Gone(*id);
+               Ask(sidecar, want);
+             });
+}
+
+void World::Heard(Sidecar& sidecar, const std::shared_ptr<Want>& want, std::uint64_t request, const Final& final) {
+  if (planted_ == Planted::kDroppedAnswer && request % 997 == 0) return;
+  Happening h;
+  h.kind = Happening::Kind::kFinal;
+  h.sidecar = sidecar.id;
+  h.request = request;
+  h.cls = want->cls;
+  h.ending = EndingOf(final);
+  Tell(h);
+  const bool again = h.ending != Ending::kServed && want->tries < want->most_tries &&
+                     (h.ending == Ending::kRefused || scenario_.classes[want->cls].effect == kestrellb::Effect::kSafe);
+  Duration wait = Milliseconds(scenario_.backoff_ms * (0.5 + sidecar.random.Uniform()) * want->tries);
+  wait = std::max(wait, final.retry_after);
+  if (!again || sim_.now() + wait >= want->until) {
+    Close(*want, h.ending);
+    sidecar.wants.erase(want->wish);
+    return;
+  }
+  sim_.After(wait, [this, &sidecar, want, life = std::weak_ptr(sidecar.life)] {
+    if (!life.expired()) Ask(sidecar, want);
+  });
+}
+
+void World::Close(const Want& want, Ending ending) {
+  Happening h;
+  h.kind = Happening::Kind::kGotten;
+  h.request = want.wish;
+  h.cls = want.cls;
+  h.ending = ending;
+  h.late = sim_.now() > want.asked + Milliseconds(scenario_.classes[want.cls].aim_ms);
+  Tell(h);
+}
+
+// ---- Trouble ----
+
+std::vector<std::size_t> World::Share(std::size_t of, double part) {
+  std::vector<std::size_t> all(of);
+  std::iota(all.begin(), all.end(), std::size_t{0});
+  for (std::size_t i = of; i > 1; --i) std::swap(all[i - 1], all[random_.Below(i)]);
+  all.resize(static_cast<std::size_t>(std::llround(part * static_cast<double>(of))));
+  return all;
+}
+
+void World::Plan(const Fault& fault) {
+  const auto at = TimePoint(kEpoch) + SecondsOf(fault.at_s);
+  sim_.At(at, [this, &fault] { Begin(fault); });
+}
+
+void World::Begin(const Fault& fault) {
+  const Duration length = SecondsOf(fault.len_s);
+  const auto zone = static_cast<std::size_t>(
+      std::find(scenario_.zones.begin(), scenario_.zones.end(), fault.zone) - scenario_.zones.begin());
+  const auto later = [this, length](auto act) { sim_.After(length, act); };
+  std::vector<std::size_t> serving;
+  for (std::size_t i = 0; i < machines_.size(); ++i) {
+    if (machines_[i].state == UpstreamState::kServing) serving.push_back(i);
+  }
+  const auto some = [&] {
+    std::vector<std::size_t> chosen;
+    for (const std::size_t i : Share(serving.size(), fault.part)) chosen.push_back(serving[i]);
+    return chosen;
+  };
+  switch (fault.kind) {
+    case FaultKind::kCutZone:
+      cut_[zone] = true;
+      later([this, zone] { cut_[zone] = false; });
+      break;
+    case FaultKind::kLoseZone: {
+      lost_[zone] = true;
+      std::vector<std::size_t> gone;
+      for (const std::size_t i : serving) {
+        if (machines_[i].zone == zone) gone.push_back(i);
+      }
+      sim_.After(kSilentNotice, [this, zone, gone] {
+        if (!lost_[zone]) return;
+        for (const std::size_t i : gone) machines_[i].state = UpstreamState::kGone, Changed(i);
+      });
+      later([this, zone, gone] {
+        lost_[zone] = false;
+        for (const std::size_t i : gone) KillServer(i), BootServer(i);
+      });
+      break;
+    }
+    case FaultKind::kSilent:
+      for (const std::size_t i : some()) {
+        machines_[i].silent = true;
+        later([this, i] { machines_[i].silent = false; });
+      }
+      break;
+    case FaultKind::kSlow:
+      for (const std::size_t i : some()) {
+        machines_[i].server->Slow(std::max(1.0, fault.size));
+        later([this, i] { machines_[i].server->Slow(1); });
+      }
+      break;
+    case FaultKind::kErrors:
+      for (const std::size_t i : some()) {
+        machines_[i].server->Fail(std::min(1.0, fault.size));
+        later([this, i] { machines_[i].server->Fail(0); });
+      }
+      break;
+    case FaultKind::kFlap:
+      for (const std::size_t i : some()) Flap(i, fault.size, sim_.now() + length);
+      break;
+    case FaultKind::kReplace: {
+      const auto chosen = some();
+      for (std::size_t n = 0; n < chosen.size(); ++n) {
+        const std::size_t i = chosen[n];
+        const double along = static_cast<double>(n) / static_cast<double>(std::max<std::size_t>(1, chosen.size()));
+        sim_.After(SecondsOf(fault.len_s * along), [this, i] {
+          machines_[i].state = UpstreamState::kDraining;
+          Changed(i);
+          sim_.After(kReplacement, [this, i] {
+            BootServer(AddServer(machines_[i].zone, machines_[i].speed));
+          });
+          sim_.After(SecondsOf(scenario_.drain_s), [this, i] {
+            machines_[i].state = UpstreamState::kGone;
+            KillServer(i);
+            Changed(i);
+          });
+        });
+      }
+      break;
+    }
+    case FaultKind::kKill:
+      for (const std::size_t i : Share(sidecars_.size(), fault.part)) Stop(*sidecars_[i]);
+      break;
+    case FaultKind::kRestart:
+      for (const auto& sidecar : sidecars_) {
+        const double along = static_cast<double>(sidecar->number) / static_cast<double>(sidecars_.size());
+        sim_.After(SecondsOf(fault.len_s * along), [this, &sidecar = *sidecar] { PlannedStop(sidecar); });
+      }
+      break;
+    case FaultKind::kBurst:
+      burst_ *= fault.size;
+      later([this, &fault] { burst_ /= fault.size; });
+      break;
+    case FaultKind::kCrowd:
+      for (const std::size_t i : Share(sidecars_.size(), fault.part)) {
+        sidecars_[i]->times *= fault.size;
+        later([this, i, &fault] { sidecars_[i]->times /= fault.size; });
+      }
+      break;
+    case FaultKind::kStale:
+      stale_ = true;
+      later([this] { stale_ = false; });
+      break;
+    case FaultKind::kImpatient:
+      impatient_ = fault.part;
+      later([this] { impatient_ = 0; });
+      break;
+  }
+}
+
+void World::Flap(std::size_t server, double away_s, TimePoint end) {
+  if (sim_.now() >= end) return;
+  KillServer(server);
+  sim_.After(SecondsOf(away_s), [this, server] { BootServer(server); });
+  sim_.After(SecondsOf(2 * away_s), [this, server, away_s, end] { Flap(server, away_s, end); });
+}
+
+// Looks at the world as it is, as people would.
+void World::EachSecond() {
+  const double s = InSeconds(TimePoint(sim_.now() - kEpoch));
+  if (s >= scenario_.length_s) return;
+  Second& second = figures_.At(s);
+  double able = 0;
+  double demand = 0;
+  for (const Machine& machine : machines_) {
+    const bool listed = machine.state == UpstreamState::kServing;
+    const bool there = machine.server->up() && !machine.silent && !lost_[machine.zone];
+    if (listed && there) able += machine.server->able();
+    if (listed && there && machine.server->warmth() < 1) ++second.cold;
+    if (listed && !there) ++second.down;
+    second.held += static_cast<double>(machine.server->held());
+  }
+  for (const auto& sidecar : sidecars_) {
+    if (!sidecar->dispatcher) continue;
+    if (sidecar->open) demand += sidecar->rate * sidecar->times;
+    const kestrellb::Counts counts = sidecar->dispatcher->counts();
+    second.ejected += counts.ejected - sidecar->told.ejected;
+    second.returned += counts.returned - sidecar->told.returned;
+    second.connects += sidecar->carrier->connects() - sidecar->connects;
+    sidecar->told = counts;
+    sidecar->connects = sidecar->carrier->connects();
+  }
+  second.able = able / warm_;
+  second.demand = demand * Load() * work_ / 1000 / warm_;
+  sim_.After(std::chrono::seconds(1), [this] { EachSecond(); });
+}
+
+}  // namespace mothrack::lab
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 sh tools/install.sh cmake g++ make libboost-dev nlohmann-json3-dev libtomlplusplus-dev libcli11-dev libgtest-dev \
-  libsqlite3-dev bind9-dnsutils dnsperf
+  libsqlite3-dev libxxhash-dev bind9-dnsutils dnsperf
 for sanitize in OFF ON; do
   cmake -B build-test/sanitize-$sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_COMPILE_WARNING_AS_ERROR=ON \
     -DCMAKE_CXX_FLAGS=-Werror -DKESTRELLB_TESTS=ON -DKESTRELLB_SANITIZE=$sanitize
