--- a/fleet/sqlite_store.h
+++ b/fleet/sqlite_store.h
@@ -4,11 +4,11 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "fleet/store.h"
-
-struct sqlite3;
+#include "sql/sqlite.h"
 
 namespace mothrack::fleet {
 
@@ -33,17 +33,13 @@
   static constexpr int kMostPlans = 50;
 
  private:
-  class Statement;
-  class Transaction;
-
   void Open(const std::string& path);
   void Read();
   bool Save(const Event& note, const std::function<void()>& write);
-  void Run(const char* sql);
   void Keep(const Event& event);
 
   const std::string path_;
-  sqlite3* db_ = nullptr;
+  std::unique_ptr<sql::Database> db_;
   Stored stored_;
   std::string fault_;    // for good, until somebody mends the file
   std::string refused_;  // of the last save; empty once one succeeds
--- a/lab/figures.cpp
+++ b/lab/figures.cpp
@@ -114,6 +114,12 @@
     sum.refused_tries += s.refused_tries;
     sum.attempts += s.attempts;
     sum.connects += s.connects;
+    sum.overload += s.overload;
+    sum.nobody += s.nobody;
+    sum.given_up += s.given_up;
+    sum.retries += s.retries;
+    sum.copies += s.copies;
+    sum.trials += s.trials;
     sum.ejected += s.ejected;
     sum.returned += s.returned;
   }
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,442 @@
+// mothrack-lab: from a question to a table or a picture. docs/operators/lab.md.
+#include <sys/utsname.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+#include "lab/load.h"
+#include "lab/report.h"
+#include "lab/results.h"
+#include "lab/search.h"
+#include "lab/statistics.h"
+#include "lab/sweep.h"
+#include "lab/world.h"
+
+namespace mothrack::lab {
+namespace {
+
+using nlohmann::json;
+
+// Exit codes: scripts rest on them.
+constexpr int kHeld = 0;
+constexpr int kUsage = 1;
+constexpr int kNotHeld = 2;  // a rule is broken, or what must hold did not
+
+std::string MachineName() {
+  utsname name{};
+  ::uname(&name);
+  return std::string(name.nodename) + ' ' + name.machine + ", " + std::to_string(std::thread::hardware_concurrency()) + " cores";
+}
+
+// "held: ..." or "not held: ..."
+std::vector<std::string> Verdicts(const Scenario& scenario, const json& run) {
+  std::vector<std::string> verdicts;
+  const auto say = [&](bool held, const std::string& what) { verdicts.push_back((held ? "held: " : "not held: ") + what); };
+  say(run.value("broken", 0) == 0, "the four rules");
+  for (const json& b : run["breaks"]) {
+    say(false, "rule " + b.value("rule", "") + " at " + std::to_string(b.value("at_s", 0.0)) + " s: " + b.value("what", ""));
+  }
+  char text[96];
+  if (scenario.served_at_least) {
+    std::snprintf(text, sizeof text, "served %.4f, at least %.4f", run.value("served", 0.0), *scenario.served_at_least);
+    say(run.value("served", 0.0) >= *scenario.served_at_least, text);
+  }
+  if (scenario.recovers_within_s) {
+    const bool recovered = run.value("recovered", true);
+    std::snprintf(text, sizeof text, "back %.0f s behind the room, at most %.0f", run.value("took_s", 0.0),
+                  *scenario.recovers_within_s);
+    say(recovered && run.value("took_s", 0.0) <= *scenario.recovers_within_s, text);
+  }
+  return verdicts;
+}
+
+bool Held(const std::vector<std::string>& verdicts) {
+  return std::all_of(verdicts.begin(), verdicts.end(), [](const std::string& v) { return v.starts_with("held"); });
+}
+
+void Print(const json& run) {
+  std::printf("%-16s seed %-6llu digest %s  %llu requests\n", run.value("scenario", "").c_str(),
+              static_cast<unsigned long long>(run.value("seed", std::uint64_t{0})), run.value("digest", "").c_str(),
+              static_cast<unsigned long long>(run.value("requests", std::uint64_t{0})));
+  std::printf("  asked %llu, in time %llu, late %llu, refused %llu, failed %llu; worth gained %.4f\n",
+              static_cast<unsigned long long>(run.value("asked", 0ULL)), static_cast<unsigned long long>(run.value("good", 0ULL)),
+              static_cast<unsigned long long>(run.value("late", 0ULL)), static_cast<unsigned long long>(run.value("refused", 0ULL)),
+              static_cast<unsigned long long>(run.value("failed", 0ULL)), run.value("gained", 0.0));
+  std::printf("  median %.1f ms, 99%% %.1f ms; %.3f attempts and %.3f connections a try\n", run.value("p50_ms", 0.0),
+              run.value("p99_ms", 0.0), run.value("attempts_a_try", 0.0), run.value("connects_a_try", 0.0));
+  if (run.contains("took_s")) {
+    std::printf("  room from %.0f s on; back %s%.0f s behind it; %.4f came to nothing while there was room\n",
+                run.value("covered_s", 0.0), run.value("recovered", false) ? "" : "NOT within ", run.value("took_s", 0.0),
+                run.value("needless", 0.0));
+  }
+}
+
+void PrintSeconds(const json& run) {
+  const char* const names[] = {"asked", "good", "late", "refused", "failed", "overload", "nobody", "given_up", "copies",
+                               "trials", "connects", "ejected", "shed", "able", "demand", "held", "cold", "down", "p50", "p95"};
+  std::printf("%4s", "s");
+  for (const char* name : names) std::printf(" %8s", name);
+  std::printf("\n");
+  int i = 0;
+  for (const json& s : run["seconds"]) {
+    std::printf("%4d", i++);
+    for (const char* name : names) std::printf(s[name].is_number_float() ? " %8.2f" : " %8.0f", s[name].get<double>());
+    std::printf("\n");
+  }
+}
+
+std::vector<Band> Bands(const Scenario& scenario) {
+  std::vector<Band> bands;
+  for (const Fault& f : scenario.faults) bands.push_back({NameOf(f.kind), f.at_s, std::max(f.at_s + 0.2, f.at_s + f.len_s)});
+  return bands;
+}
+
+void WriteFile(const std::string& path, const std::string& text) {
+  std::ofstream file(path, std::ios::binary | std::ios::trunc);
+  file << text;
+  file.close();
+  if (!file) throw std::runtime_error(path + ": can't be written");
+}
+
+struct Asked {
+  std::vector<std::string> scenarios;
+  std::vector<std::string> changes;
+  std::uint64_t seed = 1;
+  std::string report;
+  std::string db = "lab.sqlite";
+  std::string label = "now";
+  bool seconds = false;
+  std::string plant = "none";
+  std::string expect;
+};
+
+Planted PlantedOf(const std::string& name) {
+  const std::map<std::string, Planted> names = {{"none", Planted::kNone},
+                                                {"resend", Planted::kResend},
+                                                {"after-drain", Planted::kAfterDrain},
+                                                {"dropped-answer", Planted::kDroppedAnswer},
+                                                {"cold-flood", Planted::kColdFlood}};
+  return names.at(name);
+}
+
+int Run(const Asked& asked) {
+  bool held = true;
+  for (const std::string& path : asked.scenarios) {
+    const Scenario scenario = LoadScenario(path, asked.changes);
+    World world(scenario, asked.seed, PlantedOf(asked.plant));
+    const auto begin = std::chrono::steady_clock::now();
+    const Outcome outcome = world.Run();
+    const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+    const json run = ToJson(scenario, asked.seed, outcome, world.figures(), true);
+    Print(run);
+    std::printf("  %.2f s, %.0f requests a minute\n", took, static_cast<double>(outcome.requests) / took * 60);
+    const auto verdicts = Verdicts(scenario, run);
+    for (const std::string& verdict : verdicts) std::printf("  %s\n", verdict.c_str());
+    held = Held(verdicts) && held;
+    if (asked.seconds) PrintSeconds(run);
+    if (!asked.report.empty()) WriteFile(asked.report, RunPage(run, scenario.about, Bands(scenario), verdicts));
+    if (!asked.expect.empty() && run["digest"] != asked.expect) {
+      std::printf("  another history than %s\n", asked.expect.c_str());
+      held = false;
+    }
+  }
+  return held ? kHeld : kNotHeld;
+}
+
+// "1..20" or "7".
+std::pair<std::uint64_t, std::uint64_t> SeedsOf(const std::string& text) {
+  const auto dots = text.find("..");
+  try {
+    const std::uint64_t from = std::stoull(text.substr(0, dots));
+    const std::uint64_t to = dots == std::string::npos ? from : std::stoull(text.substr(dots + 2));
+    if (to < from || to - from > 1'000'000) throw std::invalid_argument(text);
+    return {from, to};
+  } catch (const std::exception&) {
+    throw std::runtime_error("--seeds " + text + ": give a number, or two as 1..20");
+  }
+}
+
+// "key=a,b,c": a list of changes, one for each value.
+std::vector<std::string> Variants(const std::string& text) {
+  const auto equals = text.find('=');
+  if (equals == std::string::npos) throw std::runtime_error("--vary " + text + ": give table.key=value,value");
+  std::vector<std::string> changes;
+  std::istringstream values(text.substr(equals + 1));
+  for (std::string value; std::getline(values, value, ',');) changes.push_back(text.substr(0, equals + 1) + value);
+  return changes;
+}
+
+int Sweep(const Asked& asked, const std::string& seeds, const std::vector<std::string>& vary, std::size_t at_once) {
+  const auto [from, to] = SeedsOf(seeds);
+  std::vector<std::vector<std::string>> settings = {asked.changes};
+  for (const std::string& v : vary) {
+    std::vector<std::vector<std::string>> more;
+    for (const auto& base : settings) {
+      for (const std::string& change : Variants(v)) {
+        more.push_back(base);
+        more.back().push_back(change);
+      }
+    }
+    settings = std::move(more);
+  }
+  Results results(asked.db);
+  std::vector<Job> jobs;
+  std::vector<RunKey> keys;
+  std::size_t there = 0;
+  for (const std::string& path : asked.scenarios) {
+    for (const auto& changes : settings) {
+      Scenario scenario = LoadScenario(path, changes);
+      for (std::size_t i = asked.changes.size(); i < changes.size(); ++i) scenario.name += ' ' + changes[i];
+      const std::string hash = HashOf(scenario);
+      for (std::uint64_t seed = from; seed <= to; ++seed) {
+        const RunKey key{asked.label, scenario.name, hash, seed};
+        if (results.Has(key)) {
+          ++there;
+          continue;
+        }
+        jobs.push_back({scenario, seed});
+        keys.push_back(key);
+      }
+    }
+  }
+  if (there > 0) std::printf("%zu runs are there already\n", there);
+  const auto begin = std::chrono::steady_clock::now();
+  const std::string machine = MachineName();
+  std::size_t done = 0;
+  std::size_t bad = 0;
+  PlayAll(jobs, at_once, [&](std::size_t job, const json& run) {
+    ++done;
+    if (run.is_null()) {
+      std::printf("%s seed %llu: its process died\n", keys[job].scenario.c_str(), static_cast<unsigned long long>(keys[job].seed));
+      ++bad;
+      return true;
+    }
+    results.Keep(keys[job], MOTHRACK_VERSION, machine, run);
+    if (run.value("broken", 0) > 0) {
+      ++bad;
+      std::printf("%s seed %llu: rule %s\n", keys[job].scenario.c_str(), static_cast<unsigned long long>(keys[job].seed),
+                  run["breaks"][0].value("rule", "").c_str());
+    }
+    const double passed = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+    if (::isatty(1)) {
+      std::printf("\r%zu of %zu, %.0f s left ", done, jobs.size(),
+                  passed / static_cast<double>(done) * static_cast<double>(jobs.size() - done));
+      std::fflush(stdout);
+    }
+    return true;
+  });
+  if (::isatty(1)) std::printf("\n");
+  // A row a scenario.
+  std::map<std::string, std::vector<json>> by;
+  for (const auto& [key, run] : results.Of(asked.label)) by[key.scenario].push_back(run);
+  std::printf("%-34s %5s %8s %8s %8s %8s %8s %8s\n", "scenario", "runs", "gained", "worst", "took_s", "worst", "needless",
+              "p99_ms");
+  for (const auto& [name, runs] : by) {
+    double gained = 0, least = 1, took = 0, longest = 0, needless = 0, p99 = 0;
+    for (const json& run : runs) {
+      const auto n = static_cast<double>(runs.size());
+      gained += run.value("gained", 0.0) / n;
+      least = std::min(least, run.value("gained", 0.0));
+      took += run.value("took_s", 0.0) / n;
+      longest = std::max(longest, run.value("took_s", 0.0));
+      needless += run.value("needless", 0.0) / n;
+      p99 += run.value("p99_ms", 0.0) / n;
+    }
+    std::printf("%-34s %5zu %8.4f %8.4f %8.2f %8.1f %8.4f %8.1f\n", name.c_str(), runs.size(), gained, least, took, longest,
+                needless, p99);
+  }
+  return bad == 0 ? kHeld : kNotHeld;
+}
+
+int CompareLabels(const Asked& asked, const std::string& a, const std::string& b) {
+  const Results results(asked.db);
+  const auto of_a = results.Of(a);
+  const auto of_b = results.Of(b);
+  std::map<std::string, std::vector<std::pair<json, json>>> pairs;
+  for (const auto& [key, run] : of_a) {
+    RunKey other = key;
+    other.label = b;
+    const auto it = of_b.find(other);
+    if (it != of_b.end()) pairs[key.scenario].emplace_back(run, it->second);
+  }
+  if (pairs.empty()) throw std::runtime_error("no run of '" + a + "' has one of '" + b + "' with the same scenario and seed");
+  std::vector<Row> rows;
+  for (const auto& [scenario, runs] : pairs) {
+    for (const Figure& figure : ComparedFigures()) {
+      Row row{scenario, figure.name, figure.up, 0, 0, {}};
+      std::vector<double> differences;
+      for (const auto& [first, second] : runs) {
+        if (!first.contains(figure.name)) continue;
+        const double x = first.value(figure.name, 0.0);
+        const double y = second.value(figure.name, 0.0);
+        row.a += x / static_cast<double>(runs.size());
+        row.b += y / static_cast<double>(runs.size());
+        differences.push_back(y - x);
+      }
+      if (differences.empty()) continue;
+      row.difference = Compare(differences);
+      rows.push_back(row);
+    }
+  }
+  std::printf("%-22s %-15s %5s %9s %9s %9s  95%% of such\n", "scenario", "figure", "pairs", a.c_str(), b.c_str(), "less");
+  for (const Row& row : rows) {
+    const Difference& d = row.difference;
+    const char* mark = !d.tells() ? "" : row.up == (d.mean > 0) ? "better" : "WORSE";
+    std::printf("%-22s %-15s %5zu %9.4f %9.4f %9.4f  %.4f to %.4f  %s\n", row.scenario.c_str(), row.figure.c_str(), d.pairs,
+                row.a, row.b, d.mean, d.low, d.high, mark);
+  }
+  if (!asked.report.empty()) WriteFile(asked.report, ComparisonPage(a, b, rows));
+  return kHeld;
+}
+
+int Search(const Asked& asked, int budget, std::size_t at_once, const std::string& into) {
+  std::vector<Scenario> library;
+  for (const std::string& path : asked.scenarios) library.push_back(LoadScenario(path, asked.changes));
+  Random random(asked.seed);
+  std::vector<Job> jobs;
+  for (int i = 0; i < budget; ++i) {
+    Scenario scenario = Mutated(library[random.Below(library.size())], random);
+    scenario.name = "found-" + std::to_string(asked.seed) + '-' + std::to_string(i);
+    jobs.push_back({scenario, random.Next() >> 12});
+  }
+  std::size_t found = 0;
+  PlayAll(jobs, at_once, [&](std::size_t job, const json& run) {
+    const Scenario& scenario = jobs[job].scenario;
+    std::string trouble = run.is_null() ? "its process died" : "";
+    if (!run.is_null() && run.value("broken", 0) > 0) trouble = "rule " + run["breaks"][0].value("rule", "");
+    if (trouble.empty() && run.contains("took_s")) {
+      const double from = std::max(run.value("covered_s", 0.0), scenario.FaultsEnd());
+      const double back = run.value("recovered", false) ? run.value("covered_s", 0.0) + run.value("took_s", 0.0) : scenario.length_s;
+      if (scenario.length_s - from >= 17 && back - from > 12) trouble = "trouble outlives its cause by " + std::to_string(static_cast<int>(back - from)) + " s";
+    }
+    if (trouble.empty()) return true;
+    ++found;
+    std::printf("%s seed %llu: %s\n", scenario.name.c_str(), static_cast<unsigned long long>(jobs[job].seed), trouble.c_str());
+    if (!into.empty()) {
+      Scenario told = scenario;
+      told.about = trouble + ", seed " + std::to_string(jobs[job].seed);
+      WriteFile(into + '/' + told.name + ".toml", ToToml(told));
+    }
+    return true;
+  });
+  std::printf("%zu of %d show trouble\n", found, budget);
+  return found == 0 ? kHeld : kNotHeld;
+}
+
+int Shrink(const Asked& asked, int budget) {
+  const Scenario scenario = LoadScenario(asked.scenarios.at(0), asked.changes);
+  const auto trouble = [&](const Scenario& s) {
+    World world(s, asked.seed, PlantedOf(asked.plant));
+    const Outcome outcome = world.Run();
+    return TroubleIn(s, outcome, world.figures());
+  };
+  const std::string whole = trouble(scenario);
+  if (whole.empty()) {
+    std::fprintf(stderr, "nothing is wrong with seed %llu\n", static_cast<unsigned long long>(asked.seed));
+    return kUsage;
+  }
+  // The same kind of trouble: its first words.
+  const std::string kind = whole.substr(0, 12);
+  const Scenario small = Shrunk(scenario, [&](const Scenario& s) { return trouble(s).starts_with(kind); }, budget);
+  World world(small, asked.seed, PlantedOf(asked.plant));
+  const Outcome outcome = world.Run();
+  std::printf("# %s; seed %llu\n", TroubleIn(small, outcome, world.figures()).c_str(), static_cast<unsigned long long>(asked.seed));
+  for (const Break& b : outcome.breaks) std::printf("# %.3f s: %s\n", b.at_s, b.what.c_str());
+  std::printf("%s", ToToml(small).c_str());
+  return kNotHeld;
+}
+
+int PlayLoad(const LoadOrder& order) {
+  const LoadResult result = Load(order);
+  std::printf("%llu due in %.1f s: %llu served, %llu refused, %llu failed\n", static_cast<unsigned long long>(result.due),
+              result.seconds, static_cast<unsigned long long>(result.served), static_cast<unsigned long long>(result.refused),
+              static_cast<unsigned long long>(result.failed));
+  std::printf("%-26s %9s %9s %9s %9s\n", "ms", "median", "95%", "99%", "99.9%");
+  const auto row = [](const char* name, const Times& times) {
+    std::printf("%-26s %9.2f %9.2f %9.2f %9.2f\n", name, Quantile(times, 0.5), Quantile(times, 0.95), Quantile(times, 0.99),
+                Quantile(times, 0.999));
+  };
+  row("from when it was due", result.from_due);
+  row("from when it was sent", result.from_sent);
+  return kHeld;
+}
+
+}  // namespace
+}  // namespace mothrack::lab
+
+int main(int argc, char** argv) {
+  using namespace mothrack::lab;
+  CLI::App app{"Plays fleets in made-up time around the sidecar's own decisions, and loads real ones."};
+  app.set_version_flag("--version", MOTHRACK_VERSION);
+  app.require_subcommand(1);
+  app.footer("Exit codes: 0 all held; 1 usage or a fault in a file; 2 something did not hold.");
+  Asked asked;
+  std::string seeds = "1..8";
+  std::vector<std::string> vary;
+  std::size_t jobs = std::max(1U, std::thread::hardware_concurrency());
+  std::string a;
+  std::string b;
+  std::string into;
+  int budget = 200;
+  LoadOrder load;
+  const auto common = [&](CLI::App* sub) {
+    sub->add_option("scenario", asked.scenarios, "scenario files (TOML)")->required()->check(CLI::ExistingFile);
+    sub->add_option("--set", asked.changes, "table.key=value, laid over the file");
+  };
+  auto* run = app.add_subcommand("run", "one run, with its verdicts");
+  common(run);
+  run->add_option("--seed", asked.seed, "of everything that is drawn");
+  run->add_flag("--seconds", asked.seconds, "a row a second");
+  run->add_option("--report", asked.report, "an HTML page, written here");
+  run->add_option("--plant", asked.plant, "a fault put in on purpose")
+      ->check(CLI::IsMember({"none", "resend", "after-drain", "dropped-answer", "cold-flood"}));
+  run->add_option("--expect", asked.expect, "the digest that it must have: a replay");
+  auto* sweep = app.add_subcommand("sweep", "many seeds and settings, side by side; goes on where it was cut short");
+  common(sweep);
+  sweep->add_option("--seeds", seeds, "1..8");
+  sweep->add_option("--vary", vary, "table.key=value,value: each of them");
+  sweep->add_option("--jobs", jobs, "at once")->check(CLI::Range(1, 1024));
+  sweep->add_option("--db", asked.db, "where results are kept");
+  sweep->add_option("--label", asked.label, "of this build or these settings");
+  auto* compare = app.add_subcommand("compare", "two labels on the same scenarios and seeds");
+  compare->add_option("a", a)->required();
+  compare->add_option("b", b)->required();
+  compare->add_option("--db", asked.db, "where results are kept")->check(CLI::ExistingFile);
+  compare->add_option("--report", asked.report, "an HTML page, written here");
+  auto* search = app.add_subcommand("search", "scenarios changed at random, for broken rules and trouble that outlives its cause");
+  common(search);
+  search->add_option("--seed", asked.seed, "of the changes");
+  search->add_option("--budget", budget, "runs")->check(CLI::Range(1, 1'000'000));
+  search->add_option("--jobs", jobs, "at once")->check(CLI::Range(1, 1024));
+  search->add_option("--into", into, "a folder for what is found")->check(CLI::ExistingDirectory);
+  auto* shrink = app.add_subcommand("shrink", "the smallest scenario that shows the same trouble");
+  common(shrink);
+  shrink->add_option("--seed", asked.seed, "that shows it");
+  shrink->add_option("--budget", budget, "runs")->check(CLI::Range(1, 1'000'000));
+  shrink->add_option("--plant", asked.plant, "a fault put in on purpose")
+      ->check(CLI::IsMember({"none", "resend", "after-drain", "dropped-answer", "cold-flood"}));
+  auto* real = app.add_subcommand("load", "open-loop HTTP load on a real sidecar on this machine");
+  real->add_option("--port", load.port, "where it listens")->required();
+  real->add_option("--target", load.target, "path");
+  real->add_option("--rate", load.rate, "a second")->check(CLI::Range(0.1, 1e6));
+  real->add_option("--seconds", load.length_s, "how long")->check(CLI::Range(0.1, 3600.0));
+  real->add_option("--timeout-ms", load.timeout_ms, "a request's time")->check(CLI::Range(1, 600'000));
+  real->add_option("--connections", load.connections, "at most")->check(CLI::Range(1, 20'000));
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (*run) return Run(asked);
+    if (*sweep) return Sweep(asked, seeds, vary, jobs);
+    if (*compare) return CompareLabels(asked, a, b);
+    if (*search) return Search(asked, budget, jobs, into);
+    if (*shrink) return Shrink(asked, budget);
+    return PlayLoad(load);
+  } catch (const std::exception& e) {
+    std::cerr << "mothrack-lab: " << e.what() << '\n';
+    return kUsage;
+  }
+}
--- /dev/null
+++ b/lab/results.cpp
@@ -0,0 +1,124 @@
+#include "lab/results.h"
+
+#include <xxhash.h>
+
+#include <cstdio>
+#include <memory>
+#include <stdexcept>
+
+namespace mothrack::lab {
+namespace {
+
+using nlohmann::json;
+
+sql::Statement& Bind(sql::Statement& statement, const RunKey& key) {
+  return statement.Text(1, key.label)
+      .Text(2, key.scenario)
+      .Text(3, key.settings)
+      .Number(4, static_cast<std::int64_t>(key.seed));
+}
+
+json ToJson(const Second& s) {
+  return {{"asked", s.asked},       {"good", s.good},           {"late", s.late},       {"refused", s.refused},
+          {"failed", s.failed},     {"tries", s.tries},         {"attempts", s.attempts}, {"connects", s.connects},
+          {"overload", s.overload}, {"nobody", s.nobody},       {"given_up", s.given_up}, {"copies", s.copies},
+          {"trials", s.trials},     {"shed", s.shed},           {"ejected", s.ejected}, {"returned", s.returned},
+          {"able", s.able},         {"demand", s.demand},       {"held", s.held},       {"cold", s.cold},
+          {"down", s.down},         {"p50", s.p50},             {"p95", s.p95},         {"p99", s.p99}};
+}
+
+}  // namespace
+
+const std::vector<Figure>& ComparedFigures() {
+  static const std::vector<Figure> kFigures = {{"gained", true},     {"served", true},  {"p50_ms", false},
+                                               {"p99_ms", false},    {"took_s", false}, {"needless", false},
+                                               {"attempts_a_try", false}, {"connects_a_try", false}};
+  return kFigures;
+}
+
+std::string HashOf(const Scenario& scenario) {
+  const std::string text = ToToml(scenario);
+  char hash[17];
+  std::snprintf(hash, sizeof hash, "%016llx", static_cast<unsigned long long>(XXH64(text.data(), text.size(), 0)));
+  return hash;
+}
+
+json ToJson(const Scenario& scenario, std::uint64_t seed, const Outcome& outcome, const Figures& figures,
+            bool with_seconds) {
+  const Second sum = figures.Sum();
+  const double tries = static_cast<double>(std::max<std::uint64_t>(1, sum.tries));
+  char digest[17];
+  std::snprintf(digest, sizeof digest, "%016llx", static_cast<unsigned long long>(outcome.digest));
+  json run = {{"scenario", scenario.name},
+              {"seed", seed},
+              {"digest", digest},
+              {"events", outcome.events},
+              {"requests", outcome.requests},
+              {"broken", outcome.broken},
+              {"asked", sum.asked},
+              {"good", sum.good},
+              {"late", sum.late},
+              {"refused", sum.refused},
+              {"failed", sum.failed},
+              {"gained", figures.gained_share()},
+              {"served", figures.served_share()},
+              {"p50_ms", figures.p(0.5)},
+              {"p99_ms", figures.p(0.99)},
+              {"attempts_a_try", static_cast<double>(sum.attempts) / tries},
+              {"connects_a_try", static_cast<double>(sum.connects) / tries},
+              {"ejected", sum.ejected}};
+  json breaks = json::array();
+  for (const Break& b : outcome.breaks) breaks.push_back({{"rule", NameOf(b.rule)}, {"at_s", b.at_s}, {"what", b.what}});
+  run["breaks"] = std::move(breaks);
+  if (const auto recovery = figures.recovery()) {
+    run["covered_s"] = recovery->covered_s;
+    run["recovered"] = recovery->recovered;
+    run["took_s"] = recovery->took_s;
+    run["needless"] = recovery->needless;
+  }
+  if (with_seconds) {
+    json seconds = json::array();
+    for (const Second& s : figures.seconds()) seconds.push_back(ToJson(s));
+    run["seconds"] = std::move(seconds);
+  }
+  return run;
+}
+
+Results::Results(const std::string& path) try : db_(path) {
+  constexpr int kBusyMs = 5000;
+  db_.WaitFor(kBusyMs);
+  db_.Run(
+      "CREATE TABLE IF NOT EXISTS run (label TEXT, scenario TEXT, settings TEXT, seed INTEGER, build TEXT, machine TEXT, "
+      "json TEXT NOT NULL, PRIMARY KEY (label, scenario, settings, seed))");
+} catch (const std::runtime_error& e) {
+  throw std::runtime_error(path + ": " + e.what());
+}
+
+bool Results::Has(const RunKey& key) const {
+  sql::Statement find(db_, "SELECT 1 FROM run WHERE label = ? AND scenario = ? AND settings = ? AND seed = ?");
+  return Bind(find, key).Step();
+}
+
+void Results::Keep(const RunKey& key, const std::string& build, const std::string& machine, const json& run) {
+  sql::Statement keep(db_, "INSERT OR REPLACE INTO run VALUES (?, ?, ?, ?, ?, ?, ?)");
+  Bind(keep, key).Text(5, build).Text(6, machine).Text(7, run.dump()).Step();
+}
+
+std::map<RunKey, json> Results::Of(const std::string& label) const {
+  std::map<RunKey, json> runs;
+  sql::Statement find(db_, "SELECT scenario, settings, seed, json FROM run WHERE label = ?");
+  find.Text(1, label);
+  while (find.Step()) {
+    runs[{label, find.Text(0), find.Text(1), static_cast<std::uint64_t>(find.Number(2))}] = json::parse(find.Text(3));
+  }
+  return runs;
+}
+
+std::vector<std::string> Results::Labels() const {
+  std::vector<std::string> labels;
+  sql::Statement find(db_, "SELECT DISTINCT label FROM run ORDER BY label");
+  while (find.Step()) labels.push_back(find.Text(0));
+  return labels;
+}
+
+}  // namespace mothrack::lab
--- /dev/null
+++ b/lab/search.cpp
@@ -0,0 +1,110 @@
+#include "lab/search.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace mothrack::lab {
+namespace {
+
+// Trouble that goes on so long behind its cause, with room enough, outlives it.
+constexpr double kOutlives = 12;
+constexpr double kLeastLength = 10;
+
+double Moved(double value, Random& random, double least, double most) {
+  return std::clamp(value * random.Between(0.6, 1.6), least, most);
+}
+
+Fault DrawnFault(const Scenario& s, Random& random) {
+  Fault f;
+  f.kind = static_cast<FaultKind>(random.Below(13));
+  f.at_s = random.Between(5, s.length_s * 0.4);
+  f.len_s = random.Between(0.5, s.length_s * 0.3);
+  f.part = random.Between(0.02, 0.6);
+  f.size = f.kind == FaultKind::kErrors ? random.Between(0.05, 1) : random.Between(0.5, 5);
+  if (f.kind == FaultKind::kFlap) f.size = random.Between(0.5, 4);
+  if (f.kind == FaultKind::kBurst) f.size = random.Between(1.1, 2.5);
+  f.zone = s.zones[random.Below(s.zones.size())];
+  return f;
+}
+
+}  // namespace
+
+std::string TroubleIn(const Scenario& scenario, const Outcome& outcome, const Figures& figures) {
+  if (!outcome.breaks.empty()) return std::string("rule ") + NameOf(outcome.breaks.front().rule);
+  if (outcome.still_open > 0) return "requests without an answer";
+  const auto recovery = figures.recovery();
+  if (!recovery) return {};
+  // Judged only where the night goes on long enough behind both its faults and the room's return.
+  const double from = std::max(recovery->covered_s, scenario.FaultsEnd());
+  if (scenario.length_s - from < kOutlives + 5) return {};
+  const double over = recovery->recovered ? recovery->recovered_s - from : scenario.length_s - from;
+  if (over > kOutlives) return "trouble outlives its cause by " + std::to_string(static_cast<int>(over)) + " s";
+  return {};
+}
+
+Scenario Mutated(const Scenario& scenario, Random& random) {
+  Scenario s = scenario;
+  s.length_s = 70;
+  s.skew = Moved(std::max(s.skew, 0.1), random, 0, 2);
+  s.use = Moved(s.use, random, 0.2, 0.8);
+  s.retries = Moved(std::max(s.retries, 0.3), random, 0, 4);
+  s.backoff_ms = Moved(s.backoff_ms, random, 10, 500);
+  s.cold_s = Moved(s.cold_s, random, 5, 25);
+  s.cold_from = Moved(s.cold_from, random, 0.1, 0.5);
+  s.pause_ms = Moved(std::max(s.pause_ms, 5.0), random, 0, 300);
+  s.notice_to_s = std::max(s.notice_from_s, Moved(s.notice_to_s, random, 0.3, 6));
+  s.sidecars = static_cast<std::size_t>(Moved(static_cast<double>(s.sidecars), random, 4, 120));
+  s.servers = static_cast<std::size_t>(Moved(static_cast<double>(s.servers), random, 6, 40));
+  if (!s.faults.empty() && random.Chance(0.3)) {
+    s.faults.erase(s.faults.begin() + static_cast<std::ptrdiff_t>(random.Below(s.faults.size())));
+  }
+  for (Fault& f : s.faults) {
+    f.at_s = Moved(f.at_s, random, 3, 30);
+    f.len_s = Moved(std::max(f.len_s, 0.5), random, 0, 20);
+    f.part = Moved(f.part, random, 0, 0.8);
+  }
+  while (s.faults.empty() || (s.faults.size() < 4 && random.Chance(0.5))) s.faults.push_back(DrawnFault(s, random));
+  return s;
+}
+
+Scenario Shrunk(Scenario scenario, const std::function<bool(const Scenario&)>& shows, int budget) {
+  bool smaller = true;
+  const auto keep = [&](const Scenario& candidate) {
+    if (budget-- <= 0 || !shows(candidate)) return false;
+    scenario = candidate;
+    return smaller = true;
+  };
+  while (smaller && budget > 0) {
+    smaller = false;
+    for (std::size_t i = 0; i < scenario.faults.size();) {
+      Scenario candidate = scenario;
+      candidate.faults.erase(candidate.faults.begin() + static_cast<std::ptrdiff_t>(i));
+      if (!keep(candidate)) ++i;
+    }
+    for (std::size_t i = 0; scenario.classes.size() > 1 && i < scenario.classes.size();) {
+      Scenario candidate = scenario;
+      candidate.classes.erase(candidate.classes.begin() + static_cast<std::ptrdiff_t>(i));
+      if (!keep(candidate)) ++i;
+    }
+    const auto halve = [&](auto&& change) {
+      Scenario candidate = scenario;
+      if (change(candidate)) keep(candidate);
+    };
+    halve([](Scenario& s) { return s.sidecars > 1 && (s.sidecars = s.sidecars / 2, true); });
+    halve([](Scenario& s) { return s.servers > 2 && (s.servers = std::max<std::size_t>(2, s.servers / 2), true); });
+    halve([](Scenario& s) {
+      if (s.length_s <= kLeastLength) return false;
+      s.length_s = std::max(kLeastLength, std::floor(s.length_s / 2));
+      std::erase_if(s.faults, [&](const Fault& f) { return f.at_s > s.length_s; });
+      for (Fault& f : s.faults) f.len_s = std::min(f.len_s, s.length_s);
+      return true;
+    });
+    halve([](Scenario& s) { return s.wave > 0 && (s.wave = 0, true); });
+    halve([](Scenario& s) { return s.retries > 0 && (s.retries = 0, true); });
+    halve([](Scenario& s) { return s.skew > 0 && (s.skew = 0, true); });
+  }
+  return scenario;
+}
+
+}  // namespace mothrack::lab
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -617,6 +617,13 @@
     if (!sidecar->dispatcher) continue;
     if (sidecar->open) demand += sidecar->rate * sidecar->times;
     const kestrellb::Counts counts = sidecar->dispatcher->counts();
+    second.overload += counts.overload - sidecar->told.overload;
+    second.nobody += counts.nobody - sidecar->told.nobody;
+    second.given_up += counts.given_up - sidecar->told.given_up;
+    second.retries += counts.retries - sidecar->told.retries;
+    second.copies += counts.copies - sidecar->told.copies;
+    second.trials += counts.trials - sidecar->told.trials;
+    second.shed += counts.shed / static_cast<double>(sidecars_.size());
     second.ejected += counts.ejected - sidecar->told.ejected;
     second.returned += counts.returned - sidecar->told.returned;
     second.connects += sidecar->carrier->connects() - sidecar->connects;
