--- /dev/null
+++ b/bench/lab_calibrate.cpp
@@ -0,0 +1,167 @@
+// The emulator beside the world: two real sidecars between real sockets, six servers that work with three cores each, and
+// the same in made-up time. What they say of the same night must agree within the bounds below, or the run fails.
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <condition_variable>
+#include <cstdio>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "lab/load.h"
+#include "lab/world.h"
+#include "standins/peers.h"
+
+namespace {
+
+using namespace mothrack::lab;
+namespace testing = mothrack::testing;
+
+constexpr int kSidecars = 2;
+constexpr int kServers = 6;
+constexpr double kWorkMs = 30;
+constexpr double kCv = 0.5;
+constexpr double kSeconds = 20;
+constexpr double kSlowest = 1;
+constexpr double kFastest = 1.6;
+
+// Cores, and who waits for one.
+class Cores {
+ public:
+  explicit Cores(int cores) : free_(cores) {}
+  void Work(double ms) {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return free_ > 0; });
+    --free_;
+    lock.unlock();
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(ms));
+    lock.lock();
+    ++free_;
+    changed_.notify_one();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  int free_;
+};
+
+struct Told {
+  double served = 0;
+  double attempts = 0;
+  double median = 0;
+  double p99 = 0;
+};
+
+Scenario Night(double use) {
+  Scenario s;
+  s.name = "calibration";
+  s.length_s = kSeconds;
+  s.sidecars = kSidecars;
+  s.skew = 0;
+  s.servers = kServers;
+  s.zones = {"one"};
+  s.slowest = kSlowest;
+  s.fastest = kFastest;
+  s.thrash = 0;
+  s.pause_ms = 0;
+  s.error_rate = 0;
+  s.same_ms = 0.05;
+  s.handshake_ms = 0.1;
+  s.use = use;
+  s.retries = 0;
+  s.max_attempts = 3;
+  s.second_copies = false;
+  s.classes = {{"page", 1, kWorkMs, kCv, 400, 2000, 1, kestrellb::Effect::kSafe}};
+  return s;
+}
+
+Told Emulated(double use) {
+  const Scenario s = Night(use);
+  World world(s, 11);
+  world.Run();
+  const Second sum = world.figures().Sum();
+  return {world.figures().served_share(), static_cast<double>(sum.attempts) / static_cast<double>(sum.tries),
+          world.figures().p(0.5), world.figures().p(0.99)};
+}
+
+Told Real(double use) {
+  std::atomic<std::uint64_t> ran{0};
+  std::vector<std::unique_ptr<Cores>> cores;
+  std::vector<std::unique_ptr<testing::Upstream>> servers;
+  std::vector<testing::json> targets;
+  double can = 0;  // requests a second
+  for (int i = 0; i < kServers; ++i) {
+    const double speed = kSlowest + (kFastest - kSlowest) * i / (kServers - 1);
+    can += 3 * speed * 1000 / kWorkMs;
+    cores.push_back(std::make_unique<Cores>(3));
+    servers.push_back(std::make_unique<testing::Upstream>(
+        [&, speed, own = cores.back().get()](testing::Wire& wire, const testing::Request&, int) {
+          thread_local Random random(std::hash<std::thread::id>()(std::this_thread::get_id()));
+          ++ran;
+          own->Work(kWorkMs * random.LogNormal(kCv) / speed);
+          wire.Answer(200, "fine");
+        }));
+    targets.push_back(testing::Target("s" + std::to_string(i), servers.back()->address()));
+  }
+  std::vector<std::unique_ptr<testing::Node>> nodes;
+  for (int i = 0; i < kSidecars; ++i) {
+    testing::Node::Options options;
+    options.known = testing::List(targets);
+    nodes.push_back(std::make_unique<testing::Node>(options));
+    if (!nodes.back()->Listening()) return {};
+  }
+  std::vector<LoadResult> results(kSidecars);
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kSidecars; ++i) {
+    threads.emplace_back([&, i] {
+      LoadOrder order;
+      order.port = nodes[static_cast<std::size_t>(i)]->port();
+      order.rate = use * can / kSidecars;
+      order.length_s = kSeconds;
+      order.timeout_ms = 2000;
+      order.poisson_seed = static_cast<std::uint64_t>(i + 1);
+      results[static_cast<std::size_t>(i)] = Load(order);
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  Told told;
+  double due = 0;
+  Times times = NewTimes();
+  for (const LoadResult& r : results) {
+    told.served += static_cast<double>(r.served);
+    due += static_cast<double>(r.due);
+    times += r.from_due;
+  }
+  told.served /= due;
+  told.attempts = static_cast<double>(ran) / due;
+  told.median = Quantile(times, 0.5);
+  told.p99 = Quantile(times, 0.99);
+  return told;
+}
+
+}  // namespace
+
+int main() {
+  // Of times: the bins are 5% wide, and sleeping on a real machine is late by a tenth of a millisecond or more.
+  constexpr double kServedOff = 0.01;
+  constexpr double kAttemptsOff = 0.03;
+  constexpr double kMedianOff = 1.15;
+  constexpr double kP99Off = 1.3;
+  bool well = true;
+  for (const double use : {0.3, 0.6, 0.8}) {
+    const Told made_up = Emulated(use);
+    const Told real = Real(use);
+    const auto within = [](double a, double b, double times) { return a > 0 && b > 0 && std::max(a / b, b / a) <= times; };
+    const bool agree = std::abs(made_up.served - real.served) <= kServedOff &&
+                       std::abs(made_up.attempts - real.attempts) <= kAttemptsOff &&
+                       within(made_up.median, real.median, kMedianOff) && within(made_up.p99, real.p99, kP99Off);
+    std::printf("use %.1f: served %.4f made up, %.4f real; attempts a try %.3f, %.3f; median %.1f, %.1f ms; 99%% %.1f, %.1f ms%s\n",
+                use, made_up.served, real.served, made_up.attempts, real.attempts, made_up.median, real.median, made_up.p99,
+                real.p99, agree ? "" : "  APART");
+    well = well && agree;
+  }
+  return well ? 0 : 1;
+}
--- a/lab/load.cpp
+++ b/lab/load.cpp
@@ -12,6 +12,8 @@
 #include <stdexcept>
 #include <vector>
 
+#include "lab/sim.h"
+
 namespace mothrack::lab {
 namespace {
 
@@ -78,9 +80,13 @@
   }
 
  private:
-  Clock::time_point DueAt(std::uint64_t number) const {
-    return begin_ + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(
-                        static_cast<double>(number) / order_.rate));
+  Clock::time_point DueAt(std::uint64_t number) {
+    while (due_s_.size() <= number) {
+      const double before = due_s_.empty() ? 0 : due_s_.back();
+      const double gap = order_.poisson_seed == 0 ? 1 / order_.rate : random_.Exponential(1 / order_.rate);
+      due_s_.push_back(due_s_.empty() ? 0 : before + gap);
+    }
+    return begin_ + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(due_s_[number]));
   }
   void Tick() {
     while (result_.due < most_ && DueAt(result_.due) <= Clock::now()) waiting_.push_back(result_.due++);
@@ -112,6 +118,8 @@
   const tcp::endpoint to_;
   Clock::time_point begin_;
   std::uint64_t most_ = 0;
+  Random random_{order_.poisson_seed};
+  std::vector<double> due_s_;
   std::size_t lines_ = 0;
   std::vector<std::shared_ptr<Line>> idle_;
   std::deque<std::uint64_t> waiting_;
--- a/lab/load.h
+++ b/lab/load.h
@@ -14,9 +14,10 @@
   std::string host = "127.0.0.1";
   std::uint16_t port = 0;
   std::string target = "/page/x";
-  double rate = 100;      // a second, evenly spread
+  double rate = 100;      // a second
   double length_s = 10;
   int timeout_ms = 1000;  // told as X-Timeout-Ms, and for how long an answer is waited for
+  std::uint64_t poisson_seed = 0;  // 0: evenly spread; else drawn, as independent clients come
   std::size_t connections = 64;  // at most; requests that are due wait for one, and their time counts
 };
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -425,6 +425,7 @@
   real->add_option("--target", load.target, "path");
   real->add_option("--rate", load.rate, "a second")->check(CLI::Range(0.1, 1e6));
   real->add_option("--seconds", load.length_s, "how long")->check(CLI::Range(0.1, 3600.0));
+  real->add_option("--poisson", load.poisson_seed, "a seed: requests come as independent clients', not evenly");
   real->add_option("--timeout-ms", load.timeout_ms, "a request's time")->check(CLI::Range(1, 600'000));
   real->add_option("--connections", load.connections, "at most")->check(CLI::Range(1, 20'000));
   CLI11_PARSE(app, argc, argv);
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -228,6 +228,7 @@
       return std::none_of(order_.begin(), order_.end(),
                           [&](const auto& u) { return u->info.zone == zone.first; });
     });
+    CountLostZones();
     sized_ = std::any_of(order_.begin(), order_.end(), [](const auto& u) { return u->info.weight != 1; });
     std::sort(order_.begin(), order_.end(), [](const UpstreamPtr& a, const UpstreamPtr& b) {
       return std::tie(a->rank, a->info.id) < std::tie(b->rank, b->info.id);
@@ -258,7 +259,7 @@
     if (!(u->info.weight > 0)) u->info.weight = 1;
     // Sidecars that hear of it together must not all call it at once; but where each may send it a fraction
     // of a call a second, together they are owed a flow from the first second on.
-    if (new_process && info.started) zones_[info.zone].silent.clear();
+    if (new_process && info.started) zones_[info.zone].silent.clear(), CountLostZones();
     if (new_process) u->cold_budget = Uniform() - std::min(1.0, ColdRate(*u));
     if (new_process || !was_serving) entering.push_back(u);
   }
@@ -373,8 +374,9 @@
     // Time-outs beside fast answers attract no calls: the rest of what it takes it serves.
     const double swallowed = Loaded(u) ? 0 : u.timeouts / calls;
     const double failing = FailureShare(u) - swallowed;
+    const double good = failing == 0 ? 1 : std::pow(1 - failing, kSuccessPower);
     return u.info.weight * LikelyWarmth(u) / (sized_ ? Slowness(u) / KindSlowness(u) : Slowness(u)) *
-           std::max(0.02, std::pow(1 - failing, kSuccessPower) * (1 - swallowed));
+           std::max(0.02, good * (1 - swallowed));
   }
 
   static bool Loaded(const Upstream& u) { return u.aim_share.value >= kLoadedShare; }
@@ -417,20 +419,30 @@
   // Guards against hangs, silent machines and cut links, which show by nothing but time: passed over before
   // five in a row, while others stand. One answer clears it.
   bool Suspect(const Upstream& u) const {
-    if (u.failure_run >= LongRun(u, kFailuresToSuspect) || Lost(u.info.zone)) return true;
+    // No run is shorter than that: most are spared the rest.
+    const bool run = u.failure_run >= kFailuresToSuspect && u.failure_run >= LongRun(u, kFailuresToSuspect);
+    if (run || Lost(u.info.zone)) return true;
     return u.outstanding > 0 &&
            now_ - u.waiting_since > Scaled(UsualTime(), kSilence * Slowness(u) / Warmth(u));
   }
 
+  // Asked of every upstream for every call, and nearly always no.
   bool Lost(const std::string& zone) const {
+    if (lost_zones_ == 0) return false;
     const auto it = zones_.find(zone);
     return it != zones_.end() && it->second.silent.size() >= kSilentToLoseZone;
   }
+  void CountLostZones() {
+    lost_zones_ = std::count_if(zones_.begin(), zones_.end(), [](const auto& zone) {
+      return zone.second.silent.size() >= kSilentToLoseZone;
+    });
+  }
 
   // An answer says that its zone is there; none to a call sent after the last one may say that it is not.
   void JudgeZone(const Attempt& a, Outcome outcome) {
     Zone& zone = zones_[a.upstream->info.zone];
     if (outcome == Outcome::kServed || outcome == Outcome::kError || outcome == Outcome::kFull) {
+      if (zone.silent.size() >= kSilentToLoseZone) --lost_zones_;
       zone.silent.clear();
       zone.answered = now_;
     } else if (outcome == Outcome::kTimeout || outcome == Outcome::kConnectFailed) {
@@ -440,8 +452,9 @@
 
   void FoundSilent(const Attempt& a) {
     Zone& zone = zones_[a.upstream->info.zone];
-    if (a.sent >= zone.answered && zone.silent.size() < kSilentToLoseZone)
-      zone.silent.insert(a.upstream->info.id.value);
+    if (a.sent < zone.answered || zone.silent.size() >= kSilentToLoseZone) return;
+    zone.silent.insert(a.upstream->info.id.value);
+    if (zone.silent.size() >= kSilentToLoseZone) ++lost_zones_;
   }
 
   bool HasConnection(const Upstream& u) const {
@@ -473,7 +486,7 @@
     ReturnIfServed(u);
     if (!trial) return !u.ejected;
     if (Lost(u.info.zone) && now_ < zones_[u.info.zone].next_trial) return false;
-    return (u.ejected || Suspect(u)) && !u.on_trial && now_ >= u.next_trial;
+    return !u.on_trial && now_ >= u.next_trial && (u.ejected || Suspect(u));
   }
 
   // The next upstream for this request by smooth weighted rotation over the subset: one not yet tried while
@@ -482,55 +495,60 @@
   UpstreamPtr Pick(const Request& r, bool only_good = false) {
     double weight = 0;
     int outstanding = 1;
-    std::vector<UpstreamPtr> takers;
-    std::vector<UpstreamPtr> waiting;  // for their budget: their turn comes nearer meanwhile
+    takers_.clear();
+    waiting_.clear();  // for their budget: their turn comes nearer meanwhile
     double room = SubsetSize();
     for (const UpstreamPtr& taker : order_) {
       Upstream& u = *taker;
       if (room <= 0) break;
       if (!InTurn(u, false) || now_ < u.full_until || !MaySend(r, u)) continue;
+      const bool suspect = Suspect(u);
       if (!HasColdBudget(u)) {
-        if (!Suspect(u)) waiting.push_back(taker);
+        if (!suspect) waiting_.push_back({&taker, Weight(u), 0});
         continue;
       }
-      takers.push_back(taker);
-      if (Suspect(u)) continue;
-      if (!Tried(r, u)) room -= Warmth(u);  // the cold ones are no help yet
-      weight += Weight(u);
+      const bool tried = Tried(r, u);
+      takers_.push_back({&taker, Weight(u), (tried ? 3 : 0) + (suspect ? 2 : 0)});
+      if (suspect) continue;
+      if (!tried) room -= Warmth(u);  // the cold ones are no help yet
+      weight += takers_.back().weight;
       outstanding += u.outstanding;
     }
-    std::vector<UpstreamPtr> best;
+    best_.clear();
     int best_standing = only_good ? 1 : 6;
-    for (const UpstreamPtr& taker : takers) {
-      const Upstream& u = *taker;
+    for (const Taker& taker : takers_) {
+      const Upstream& u = **taker.upstream;
       // Where connecting takes long or fails, one without a connection is no better than a crowded one; but
       // one that has just started has its table of connections empty.
-      const bool crowded = u.outstanding + 1 > kCrowdSlack + 0.5 + outstanding * Weight(u) / weight ||
+      const bool crowded = u.outstanding + 1 > kCrowdSlack + 0.5 + outstanding * taker.weight / weight ||
                            (Warmth(u) >= 1 && connecting_.value > kHardToConnect && !HasConnection(u));
-      const int standing = (Tried(r, u) ? 3 : 0) + (Suspect(u) ? 2 : crowded ? 1 : 0);
-      if (standing < best_standing) best.clear();
+      const bool suspect = taker.standing % 3 == 2;
+      const int standing = taker.standing + (!suspect && crowded ? 1 : 0);
+      if (standing < best_standing) best_.clear();
       if (standing > best_standing) continue;
       best_standing = standing;
-      best.push_back(taker);
+      best_.push_back(taker);
     }
-    return best.empty() ? nullptr : Rotate(best, waiting);
+    return best_.empty() ? nullptr : Rotate();
   }
 
-  UpstreamPtr Rotate(const std::vector<UpstreamPtr>& candidates, const std::vector<UpstreamPtr>& waiting) {
+  // Over best_; those of waiting_ come nearer to their turn.
+  UpstreamPtr Rotate() {
     double sum = 0;
-    UpstreamPtr best = candidates.front();
-    for (const UpstreamPtr& u : candidates) sum += Weight(*u);
+    for (const Taker& t : best_) sum += t.weight;
     // One that was not among the candidates for long comes from a turn of another length.
-    const auto gain = [sum](Upstream& u, double weight) {
-      u.credit = std::clamp(u.credit, -sum, sum) + weight;
+    const auto gain = [sum](const Taker& t) {
+      Upstream& u = **t.upstream;
+      u.credit = std::clamp(u.credit, -sum, sum) + t.weight;
     };
-    for (const UpstreamPtr& u : candidates) {
-      gain(*u, Weight(*u));
-      if (u->credit > best->credit) best = u;
+    const UpstreamPtr* best = best_.front().upstream;
+    for (const Taker& t : best_) {
+      gain(t);
+      if ((*t.upstream)->credit > (*best)->credit) best = t.upstream;
     }
-    best->credit -= sum;
-    for (const UpstreamPtr& u : waiting) gain(*u, Weight(*u));
-    return best;
+    (*best)->credit -= sum;
+    for (const Taker& t : waiting_) gain(t);
+    return *best;
   }
 
   // Sent to for this request, or asked for its load.
@@ -698,8 +716,9 @@
   // trial: refusing all while some could serve is the worst outcome.
   bool Try(Request& r) {
     if (!settings_.limits.second_copies && !r.attempts.empty()) return false;
+    if (r.cls->effect == Effect::kUnsafe) return false;
     for (const UpstreamPtr& u : order_) {
-      if (r.cls->effect == Effect::kUnsafe || Tried(r, *u)) continue;
+      if (Tried(r, *u)) continue;
       if (!MayTake(*u, true) || !MaySend(r, *u)) continue;
       SendTo(r, u, Reason::kTrial);
       return true;
@@ -1107,6 +1126,13 @@
   std::uint64_t last_token_ = kHousekeepingToken;
   std::optional<TimePoint> ask_again_at_;
   bool sized_ = false;  // the list tells sizes: what a kind can do is in them, and not to be counted twice
+  // Of one Pick(), kept for their memory.
+  struct Taker {
+    const UpstreamPtr* upstream;
+    double weight;
+    int standing;  // 2 of a suspect, 3 more of one that was tried
+  };
+  std::vector<Taker> takers_, waiting_, best_;
   bool refusing_ = false;
   TimePoint refused_at_;
   double shed_ = 0;                // share of the work asked for that is refused
@@ -1140,6 +1166,7 @@
     TimePoint next_trial;
   };
   std::map<std::string, Zone> zones_;
+  std::ptrdiff_t lost_zones_ = 0;
   double retry_budget_ = kRetryBurst;
   double usual_weight_ = 0;  // the list's weight, slow to fall
 };
