--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -82,7 +82,7 @@
       return kLeft + (kWidth - kLeft - kRight) * second / static_cast<double>(std::max<std::size_t>(1, seconds_));
     };
     const auto y = [&](double value) { return kTop + (kHeight - kTop - kBottom) * (1 - value / most); };
-    out << "<figure><figcaption>" << Escaped(title_) << " <span class=unit>" << Escaped(unit_) << "</span></figcaption>\n"
+    out << "<figure><figcaption>" << Escaped(title_) << " <span class=unit>" << Escaped(unit_) << "</span></figcaption>\n<div class=wide>"
         << "<svg viewBox=\"0 0 " << kWidth << ' ' << kHeight << "\" role=img aria-label=\"" << Escaped(title_) << "\">\n";
     for (const Band& band : bands_) {
       out << "<rect class=band x=" << x(band.from_s) << " y=" << kTop << " width="
@@ -116,7 +116,7 @@
       for (std::size_t i = 0; i < seconds_; ++i) out << x(static_cast<double>(i) + 0.5) << ',' << y(s.values[i]) << ' ';
       out << "\" />\n";
     }
-    out << "</svg>\n<p class=legend>";
+    out << "</svg></div>\n<p class=legend>";
     for (const auto* all : {&stack_, &lines_}) {
       for (const Series& s : *all) out << "<span><i style=\"background:" << s.colour << "\"></i>" << Escaped(s.name) << "</span> ";
     }
@@ -160,7 +160,7 @@
          "<meta name=viewport content=\"width=device-width, initial-scale=1\"><title>" +
          Escaped(title) +
          "</title>\n<style>body{font:16px/1.5 system-ui,sans-serif;max-width:60rem;margin:1rem auto;padding:0 1rem;"
-         "color:#222}h1{font-size:1.4rem}figure{margin:1.5rem 0}figcaption{font-weight:600}svg{width:100%;height:auto}"
+         "color:#222}h1{font-size:1.4rem}figure{margin:1.5rem 0}figcaption{font-weight:600}svg{width:100%;height:auto}figure svg{min-width:34rem}"
          "svg text{font-size:12px;fill:#555}.unit{font-weight:400;color:#555}.grid{stroke:#ddd}.band{fill:#999;opacity:.18}"
          "polyline{stroke-width:2}.legend span{margin-right:1rem;white-space:nowrap}.legend i{display:inline-block;"
          "width:.9em;height:.9em;margin-right:.35em;vertical-align:-.1em}.bandkey{background:#ddd}table{border-collapse:"
