--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,5 +1,5 @@
-// What a rolling restart of many sidecars costs beside the ideal, which is the batches' number times what one planned
-// restart takes by itself; and what seeing them costs. A ratio over its floor fails the run.
+// What a rolling restart of many sidecars costs beside the ideal, which is the batches' number times what one
+// planned restart takes by itself; and what seeing them costs. A ratio over its floor fails the run.
 #include <signal.h>
 #include <unistd.h>
 
@@ -50,7 +50,8 @@
     if (!status.is_object()) return false;
     for (const auto& [name, agent] : status["agents"].items()) {
       if (!agent.contains("instances")) return false;
-      for (const auto& [instance, told] : agent["instances"].items()) running += told.value("running", false) ? 1 : 0;
+      for (const auto& [instance, told] : agent["instances"].items())
+        running += told.value("running", false) ? 1 : 0;
     }
     return running == 4 * kEach;
   });
@@ -65,19 +66,20 @@
   return true;
 }
 
-// What one answer of the sidecar's door costs it, against what requests cost it that come at a light rate, one by one.
-// Taken apart, as the two together differ from spell to spell by more than the door takes. Sixty upstreams, as a page of
-// the door then is long.
+// What one answer of the sidecar's door costs it, against what requests cost it that come at a light rate,
+// one by one. Taken apart, as the two together differ from spell to spell by more than the door takes. Sixty
+// upstreams, as a page of the door then is long.
 bool AskTheDoor() {
   constexpr double kMostRatio = 1.02;
-  // Requests a second: what a sidecar of many sees at most, and one that works. The floor is held against the latter.
+  // Requests a second: what a sidecar of many sees at most, and one that works. The floor is held against the
+  // latter.
   constexpr int kLightRate = 100;
   constexpr int kRate = 500;
   constexpr int kPairs = 5;
   constexpr int kLooks = 30;
   constexpr auto kLookEvery = std::chrono::milliseconds(100);  // it answers 20 a second at most
-  mothrack::testing::Upstream upstream(
-      [](mothrack::testing::Wire& wire, const mothrack::testing::Request&, int) { wire.Answer(200, "fine"); });
+  mothrack::testing::Upstream upstream([](mothrack::testing::Wire& wire, const mothrack::testing::Request&,
+                                          int) { wire.Answer(200, "fine"); });
   std::vector<mothrack::testing::json> targets = {mothrack::testing::Target("u0", upstream.address())};
   for (int i = 1; i < 60; ++i) {
     targets.push_back(mothrack::testing::Target("u" + std::to_string(i), upstream.address(), "leaving"));
@@ -113,9 +115,8 @@
       return told && told->status == 200;
     });
     const auto second = [&](int rate) {
-      return spell(rate, std::chrono::microseconds(1'000'000 / rate), [&] {
-        return client.Get("/page/x", "d" + std::to_string(number++)).has_value();
-      });
+      return spell(rate, std::chrono::microseconds(1'000'000 / rate),
+                   [&] { return client.Get("/page/x", "d" + std::to_string(number++)).has_value(); });
     };
     look = std::max(0.0, looks - idle) / kLooks;
     light.push_back(1 + look / second(kLightRate));
@@ -124,10 +125,12 @@
   if (!answered) return std::fprintf(stderr, "a request or the door was not answered\n"), false;
   std::sort(ratios.begin(), ratios.end());
   std::sort(light.begin(), light.end());
-  std::printf("the door, 60 upstreams: %.0f us an answer; asked once a second at %d requests a second: ratio %.3f (%.3f to "
-              "%.3f; at most %.2f), at %d: %.3f\n",
-              look * 1e6, kRate, ratios[kPairs / 2], ratios.front(), ratios.back(), kMostRatio, kLightRate,
-              light[kPairs / 2]);
+  std::printf(
+      "the door, 60 upstreams: %.0f us an answer; asked once a second at %d requests a second: ratio %.3f "
+      "(%.3f to "
+      "%.3f; at most %.2f), at %d: %.3f\n",
+      look * 1e6, kRate, ratios[kPairs / 2], ratios.front(), ratios.back(), kMostRatio, kLightRate,
+      light[kPairs / 2]);
   return ratios[kPairs / 2] <= kMostRatio;
 }
 
@@ -155,8 +158,8 @@
   if (!fleet.AllReady("g1")) return false;
 
   auto begin = Clock::now();
-  const auto restart =
-      fleet.Ctl({"restart", "--why", "bench", "--max-unavailable", std::to_string(kAtOnce), "--watch-ms", "0"});
+  const auto restart = fleet.Ctl(
+      {"restart", "--why", "bench", "--max-unavailable", std::to_string(kAtOnce), "--watch-ms", "0"});
   const double took = Since(begin);
   if (restart.code != 0) return std::fprintf(stderr, "%s", restart.out.c_str()), false;
   const double ratio = took / (kBatches * drain);
--- a/bench/lab_calibrate.cpp
+++ b/bench/lab_calibrate.cpp
@@ -1,5 +1,6 @@
-// The emulator beside the world: two real sidecars between real sockets, six servers that work with three cores each, and
-// the same in made-up time. What they say of the same night must agree within the bounds below, or the run fails.
+// The emulator beside the world: two real sidecars between real sockets, six servers that work with three
+// cores each, and the same in made-up time. What they say of the same night must agree within the bounds
+// below, or the run fails.
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -145,7 +146,8 @@
 }  // namespace
 
 int main() {
-  // Of times: the bins are 5% wide, and sleeping on a real machine is late by a tenth of a millisecond or more.
+  // Of times: the bins are 5% wide, and sleeping on a real machine is late by a tenth of a millisecond or
+  // more.
   constexpr double kServedOff = 0.01;
   constexpr double kAttemptsOff = 0.03;
   constexpr double kMedianOff = 1.15;
@@ -154,13 +156,18 @@
   for (const double use : {0.3, 0.6, 0.8}) {
     const Told made_up = Emulated(use);
     const Told real = Real(use);
-    const auto within = [](double a, double b, double times) { return a > 0 && b > 0 && std::max(a / b, b / a) <= times; };
+    const auto within = [](double a, double b, double times) {
+      return a > 0 && b > 0 && std::max(a / b, b / a) <= times;
+    };
     const bool agree = std::abs(made_up.served - real.served) <= kServedOff &&
                        std::abs(made_up.attempts - real.attempts) <= kAttemptsOff &&
-                       within(made_up.median, real.median, kMedianOff) && within(made_up.p99, real.p99, kP99Off);
-    std::printf("use %.1f: served %.4f made up, %.4f real; attempts a try %.3f, %.3f; median %.1f, %.1f ms; 99%% %.1f, %.1f ms%s\n",
-                use, made_up.served, real.served, made_up.attempts, real.attempts, made_up.median, real.median, made_up.p99,
-                real.p99, agree ? "" : "  APART");
+                       within(made_up.median, real.median, kMedianOff) &&
+                       within(made_up.p99, real.p99, kP99Off);
+    std::printf(
+        "use %.1f: served %.4f made up, %.4f real; attempts a try %.3f, %.3f; median %.1f, %.1f ms; 99%% "
+        "%.1f, %.1f ms%s\n",
+        use, made_up.served, real.served, made_up.attempts, real.attempts, made_up.median, real.median,
+        made_up.p99, real.p99, agree ? "" : "  APART");
     well = well && agree;
   }
   return well ? 0 : 1;
--- a/fuzz/fleet_wire_fuzz.cpp
+++ b/fuzz/fleet_wire_fuzz.cpp
@@ -1,5 +1,6 @@
-// What comes from another machine's agent or tool, and from the disk, as JSON. What can be read is written, read again
-// and must be the same; what can't is said by std::invalid_argument and by nothing else. Broken invariants abort.
+// What comes from another machine's agent or tool, and from the disk, as JSON. What can be read is written,
+// read again and must be the same; what can't is said by std::invalid_argument and by nothing else. Broken
+// invariants abort.
 #include <cstdint>
 #include <cstdlib>
 #include <stdexcept>
--- a/lab/carrier.cpp
+++ b/lab/carrier.cpp
@@ -8,7 +8,8 @@
 
 void Carrier::Apply(const std::string& uid, const Location& location) {
   Pool& pool = At(uid);
-  const bool same = location.state == kestrellb::UpstreamState::kServing && location.boot_ms == pool.location.boot_ms;
+  const bool same =
+      location.state == kestrellb::UpstreamState::kServing && location.boot_ms == pool.location.boot_ms;
   pool.location = location;
   if (same) return;
   pool.idle.clear();
@@ -21,8 +22,8 @@
   for (const CallPtr& call : unsent) End(call, Outcome::kNotSent, false);
 }
 
-void Carrier::Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message, Duration timeout,
-                   ExchangeHooks hooks) {
+void Carrier::Send(ExchangeId id, const std::string& uid, std::shared_ptr<const Message> message,
+                   Duration timeout, ExchangeHooks hooks) {
   auto call = std::make_shared<Call>();
   call->id = id;
   call->server = NumberOf(uid);
@@ -36,7 +37,8 @@
     if (!life.expired() && call) End(call, Outcome::kTimeout, false);
   });
   Pool& pool = At(uid);
-  std::erase_if(pool.idle, [this](TimePoint since) { return sim_.now() - since >= std::chrono::seconds(15); });
+  std::erase_if(pool.idle,
+                [this](TimePoint since) { return sim_.now() - since >= std::chrono::seconds(15); });
   if (pool.idle.empty()) return Connect(call);
   pool.idle.pop_back();
   Write(call);
@@ -122,13 +124,14 @@
   if (keeps) At(NameOf(call->server)).idle.push_back(sim_.now());
   const bool given_up = outcome == Outcome::kTimeout || outcome == Outcome::kCancelled;
   if (given_up && call->connected && links_.Passes(zone_, call->server)) {
-    sim_.After(links_.Delay(zone_, call->server), [&links = links_, server = call->server, job = call->job] {
-      links.At(server).Cancel(job);
-    });
+    sim_.After(links_.Delay(zone_, call->server),
+               [&links = links_, server = call->server, job = call->job] { links.At(server).Cancel(job); });
   }
   // Before its request's first byte was written nothing can have run, whatever ended it.
   const bool unsent = !call->connected && (outcome == Outcome::kTimeout || outcome == Outcome::kCancelled);
-  const Outcome proven = !unsent ? outcome : outcome == Outcome::kTimeout ? Outcome::kConnectFailed : Outcome::kNotSent;
+  const Outcome proven = !unsent                        ? outcome
+                         : outcome == Outcome::kTimeout ? Outcome::kConnectFailed
+                                                        : Outcome::kNotSent;
   if (call->connected) {
     Happening h;
     h.kind = Happening::Kind::kEnded;
--- a/lab/carrier.h
+++ b/lab/carrier.h
@@ -1,5 +1,5 @@
-// The transport of a made-up sidecar: what http/transport.h does on sockets, in made-up time over made-up links. It keeps
-// connections, opens new ones, and proves of each attempt no more than a socket would.
+// The transport of a made-up sidecar: what http/transport.h does on sockets, in made-up time over made-up
+// links. It keeps connections, opens new ones, and proves of each attempt no more than a socket would.
 #pragma once
 
 #include <functional>
--- a/lab/figures.cpp
+++ b/lab/figures.cpp
@@ -22,8 +22,9 @@
 
 Times NewTimes() {
   const auto bins = static_cast<unsigned>(std::ceil(std::log(kMostMs / kLeastMs) / std::log(kBinWidth)));
-  return boost::histogram::make_histogram(boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(
-      bins, kLeastMs, kMostMs));
+  return boost::histogram::make_histogram(
+      boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(bins, kLeastMs,
+                                                                                      kMostMs));
 }
 
 double Quantile(const Times& times, double q) {
--- a/lab/figures.h
+++ b/lab/figures.h
@@ -26,14 +26,15 @@
   std::uint64_t late = 0;     // served after it
   std::uint64_t refused = 0;  // came to nothing, the last word being a refusal
   std::uint64_t failed = 0;
-  double worth = 0;           // asked for
+  double worth = 0;  // asked for
   double gained = 0;
   // What was done in it.
-  std::uint64_t tries = 0;         // requests that sidecars took
+  std::uint64_t tries = 0;  // requests that sidecars took
   std::uint64_t refused_tries = 0;
   std::uint64_t attempts = 0;
   std::uint64_t connects = 0;
-  // What the modules say: refused as overload, with nobody to send to, given up after attempts; sent again, copies, trials.
+  // What the modules say: refused as overload, with nobody to send to, given up after attempts; sent again,
+  // copies, trials.
   std::uint64_t overload = 0, nobody = 0, given_up = 0;
   std::uint64_t retries = 0, copies = 0, trials = 0;
   double shed = 0;  // the share of the work that is refused as overload, in the mean over the sidecars
@@ -53,7 +54,7 @@
   double recovered_s = 0;  // refusals under 2%, late under 5%, for three seconds
   bool recovered = false;
   double took_s = 0;
-  double needless = 0;     // wishes that came to nothing while there was a tenth of room, as a share of all
+  double needless = 0;  // wishes that came to nothing while there was a tenth of room, as a share of all
 };
 
 class Figures {
--- a/lab/load.cpp
+++ b/lab/load.cpp
@@ -52,7 +52,8 @@
  public:
   explicit Loader(const LoadOrder& order)
       : order_(order), timer_(io_), to_(boost::asio::ip::make_address(order.host), order.port) {
-    if (!to_.address().is_loopback()) throw std::invalid_argument(order.host + ": load goes to loopback addresses only");
+    if (!to_.address().is_loopback())
+      throw std::invalid_argument(order.host + ": load goes to loopback addresses only");
   }
 
   LoadResult Run() {
@@ -67,7 +68,8 @@
   const LoadOrder& order() const { return order_; }
   const tcp::endpoint& to() const { return to_; }
 
-  void Ended(const std::shared_ptr<Line>& line, Clock::time_point due, Clock::time_point sent, unsigned status) {
+  void Ended(const std::shared_ptr<Line>& line, Clock::time_point due, Clock::time_point sent,
+             unsigned status) {
     if (status == 200) {
       ++result_.served;
       result_.from_due(MillisecondsSince(due));
@@ -86,7 +88,8 @@
       const double gap = order_.poisson_seed == 0 ? 1 / order_.rate : random_.Exponential(1 / order_.rate);
       due_s_.push_back(due_s_.empty() ? 0 : before + gap);
     }
-    return begin_ + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(due_s_[number]));
+    return begin_ +
+           std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(due_s_[number]));
   }
   void Tick() {
     while (result_.due < most_ && DueAt(result_.due) <= Clock::now()) waiting_.push_back(result_.due++);
@@ -133,7 +136,8 @@
   request_.method(http::verb::get);
   request_.target(owner_.order().target);
   request_.set(http::field::host, "lab");
-  request_.set("X-Request-ID", "lab-" + std::to_string(sent_.time_since_epoch().count()) + '-' + std::to_string(number));
+  request_.set("X-Request-ID",
+               "lab-" + std::to_string(sent_.time_since_epoch().count()) + '-' + std::to_string(number));
   request_.set("X-Timeout-Ms", std::to_string(owner_.order().timeout_ms));
   stream_.expires_after(std::chrono::milliseconds(owner_.order().timeout_ms));
   if (connected_) return Write();
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -30,20 +30,25 @@
 std::string MachineName() {
   utsname name{};
   ::uname(&name);
-  return std::string(name.nodename) + ' ' + name.machine + ", " + std::to_string(std::thread::hardware_concurrency()) + " cores";
+  return std::string(name.nodename) + ' ' + name.machine + ", " +
+         std::to_string(std::thread::hardware_concurrency()) + " cores";
 }
 
 // "held: ..." or "not held: ..."
 std::vector<std::string> Verdicts(const Scenario& scenario, const json& run) {
   std::vector<std::string> verdicts;
-  const auto say = [&](bool held, const std::string& what) { verdicts.push_back((held ? "held: " : "not held: ") + what); };
+  const auto say = [&](bool held, const std::string& what) {
+    verdicts.push_back((held ? "held: " : "not held: ") + what);
+  };
   say(run.value("broken", 0) == 0, "the four rules");
   for (const json& b : run["breaks"]) {
-    say(false, "rule " + b.value("rule", "") + " at " + std::to_string(b.value("at_s", 0.0)) + " s: " + b.value("what", ""));
+    say(false, "rule " + b.value("rule", "") + " at " + std::to_string(b.value("at_s", 0.0)) +
+                   " s: " + b.value("what", ""));
   }
   char text[96];
   if (scenario.served_at_least) {
-    std::snprintf(text, sizeof text, "served %.4f, at least %.4f", run.value("served", 0.0), *scenario.served_at_least);
+    std::snprintf(text, sizeof text, "served %.4f, at least %.4f", run.value("served", 0.0),
+                  *scenario.served_at_least);
     say(run.value("served", 0.0) >= *scenario.served_at_least, text);
   }
   if (scenario.recovers_within_s) {
@@ -56,43 +61,51 @@
 }
 
 bool Held(const std::vector<std::string>& verdicts) {
-  return std::all_of(verdicts.begin(), verdicts.end(), [](const std::string& v) { return v.starts_with("held"); });
+  return std::all_of(verdicts.begin(), verdicts.end(),
+                     [](const std::string& v) { return v.starts_with("held"); });
 }
 
 void Print(const json& run) {
   std::printf("%-16s seed %-6llu digest %s  %llu requests\n", run.value("scenario", "").c_str(),
-              static_cast<unsigned long long>(run.value("seed", std::uint64_t{0})), run.value("digest", "").c_str(),
+              static_cast<unsigned long long>(run.value("seed", std::uint64_t{0})),
+              run.value("digest", "").c_str(),
               static_cast<unsigned long long>(run.value("requests", std::uint64_t{0})));
   std::printf("  asked %llu, in time %llu, late %llu, refused %llu, failed %llu; worth gained %.4f\n",
-              static_cast<unsigned long long>(run.value("asked", 0ULL)), static_cast<unsigned long long>(run.value("good", 0ULL)),
-              static_cast<unsigned long long>(run.value("late", 0ULL)), static_cast<unsigned long long>(run.value("refused", 0ULL)),
+              static_cast<unsigned long long>(run.value("asked", 0ULL)),
+              static_cast<unsigned long long>(run.value("good", 0ULL)),
+              static_cast<unsigned long long>(run.value("late", 0ULL)),
+              static_cast<unsigned long long>(run.value("refused", 0ULL)),
               static_cast<unsigned long long>(run.value("failed", 0ULL)), run.value("gained", 0.0));
-  std::printf("  median %.1f ms, 99%% %.1f ms; %.3f attempts and %.3f connections a try\n", run.value("p50_ms", 0.0),
-              run.value("p99_ms", 0.0), run.value("attempts_a_try", 0.0), run.value("connects_a_try", 0.0));
+  std::printf("  median %.1f ms, 99%% %.1f ms; %.3f attempts and %.3f connections a try\n",
+              run.value("p50_ms", 0.0), run.value("p99_ms", 0.0), run.value("attempts_a_try", 0.0),
+              run.value("connects_a_try", 0.0));
   if (run.contains("took_s")) {
     std::printf("  room from %.0f s on; back %s%.0f s behind it; %.4f came to nothing while there was room\n",
-                run.value("covered_s", 0.0), run.value("recovered", false) ? "" : "NOT within ", run.value("took_s", 0.0),
-                run.value("needless", 0.0));
+                run.value("covered_s", 0.0), run.value("recovered", false) ? "" : "NOT within ",
+                run.value("took_s", 0.0), run.value("needless", 0.0));
   }
 }
 
 void PrintSeconds(const json& run) {
-  const char* const names[] = {"asked", "good", "late", "refused", "failed", "overload", "nobody", "given_up", "copies",
-                               "trials", "connects", "ejected", "shed", "able", "demand", "held", "cold", "down", "p50", "p95"};
+  const char* const names[] = {"asked",    "good",   "late",   "refused",  "failed",  "overload", "nobody",
+                               "given_up", "copies", "trials", "connects", "ejected", "shed",     "able",
+                               "demand",   "held",   "cold",   "down",     "p50",     "p95"};
   std::printf("%4s", "s");
   for (const char* name : names) std::printf(" %8s", name);
   std::printf("\n");
   int i = 0;
   for (const json& s : run["seconds"]) {
     std::printf("%4d", i++);
-    for (const char* name : names) std::printf(s[name].is_number_float() ? " %8.2f" : " %8.0f", s[name].get<double>());
+    for (const char* name : names)
+      std::printf(s[name].is_number_float() ? " %8.2f" : " %8.0f", s[name].get<double>());
     std::printf("\n");
   }
 }
 
 std::vector<Band> Bands(const Scenario& scenario) {
   std::vector<Band> bands;
-  for (const Fault& f : scenario.faults) bands.push_back({NameOf(f.kind), f.at_s, std::max(f.at_s + 0.2, f.at_s + f.len_s)});
+  for (const Fault& f : scenario.faults)
+    bands.push_back({NameOf(f.kind), f.at_s, std::max(f.at_s + 0.2, f.at_s + f.len_s)});
   return bands;
 }
 
@@ -134,12 +147,14 @@
     const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
     const json run = ToJson(scenario, asked.seed, outcome, world.figures(), true);
     Print(run);
-    std::printf("  %.2f s, %.0f requests a minute\n", took, static_cast<double>(outcome.requests) / took * 60);
+    std::printf("  %.2f s, %.0f requests a minute\n", took,
+                static_cast<double>(outcome.requests) / took * 60);
     const auto verdicts = Verdicts(scenario, run);
     for (const std::string& verdict : verdicts) std::printf("  %s\n", verdict.c_str());
     held = Held(verdicts) && held;
     if (asked.seconds) PrintSeconds(run);
-    if (!asked.report.empty()) WriteFile(asked.report, RunPage(run, scenario.about, Bands(scenario), verdicts));
+    if (!asked.report.empty())
+      WriteFile(asked.report, RunPage(run, scenario.about, Bands(scenario), verdicts));
     if (!asked.expect.empty() && run["digest"] != asked.expect) {
       std::printf("  another history than %s\n", asked.expect.c_str());
       held = false;
@@ -164,14 +179,17 @@
 // "key=a,b,c": a list of changes, one for each value.
 std::vector<std::string> Variants(const std::string& text) {
   const auto equals = text.find('=');
-  if (equals == std::string::npos) throw std::runtime_error("--vary " + text + ": give table.key=value,value");
+  if (equals == std::string::npos)
+    throw std::runtime_error("--vary " + text + ": give table.key=value,value");
   std::vector<std::string> changes;
   std::istringstream values(text.substr(equals + 1));
-  for (std::string value; std::getline(values, value, ',');) changes.push_back(text.substr(0, equals + 1) + value);
+  for (std::string value; std::getline(values, value, ',');)
+    changes.push_back(text.substr(0, equals + 1) + value);
   return changes;
 }
 
-int Sweep(const Asked& asked, const std::string& seeds, const std::vector<std::string>& vary, std::size_t at_once) {
+int Sweep(const Asked& asked, const std::string& seeds, const std::vector<std::string>& vary,
+          std::size_t at_once) {
   const auto [from, to] = SeedsOf(seeds);
   std::vector<std::vector<std::string>> settings = {asked.changes};
   for (const std::string& v : vary) {
@@ -212,14 +230,16 @@
   PlayAll(jobs, at_once, [&](std::size_t job, const json& run) {
     ++done;
     if (run.is_null()) {
-      std::printf("%s seed %llu: its process died\n", keys[job].scenario.c_str(), static_cast<unsigned long long>(keys[job].seed));
+      std::printf("%s seed %llu: its process died\n", keys[job].scenario.c_str(),
+                  static_cast<unsigned long long>(keys[job].seed));
       ++bad;
       return true;
     }
     results.Keep(keys[job], MOTHRACK_VERSION, machine, run);
     if (run.value("broken", 0) > 0) {
       ++bad;
-      std::printf("%s seed %llu: rule %s\n", keys[job].scenario.c_str(), static_cast<unsigned long long>(keys[job].seed),
+      std::printf("%s seed %llu: rule %s\n", keys[job].scenario.c_str(),
+                  static_cast<unsigned long long>(keys[job].seed),
                   run["breaks"][0].value("rule", "").c_str());
     }
     const double passed = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
@@ -234,8 +254,8 @@
   // A row a scenario.
   std::map<std::string, std::vector<json>> by;
   for (const auto& [key, run] : results.Of(asked.label)) by[key.scenario].push_back(run);
-  std::printf("%-34s %5s %8s %8s %8s %8s %8s %8s\n", "scenario", "runs", "gained", "worst", "took_s", "worst", "needless",
-              "p99_ms");
+  std::printf("%-34s %5s %8s %8s %8s %8s %8s %8s\n", "scenario", "runs", "gained", "worst", "took_s", "worst",
+              "needless", "p99_ms");
   for (const auto& [name, runs] : by) {
     double gained = 0, least = 1, took = 0, longest = 0, needless = 0, p99 = 0;
     for (const json& run : runs) {
@@ -247,8 +267,8 @@
       needless += run.value("needless", 0.0) / n;
       p99 += run.value("p99_ms", 0.0) / n;
     }
-    std::printf("%-34s %5zu %8.4f %8.4f %8.2f %8.1f %8.4f %8.1f\n", name.c_str(), runs.size(), gained, least, took, longest,
-                needless, p99);
+    std::printf("%-34s %5zu %8.4f %8.4f %8.2f %8.1f %8.4f %8.1f\n", name.c_str(), runs.size(), gained, least,
+                took, longest, needless, p99);
   }
   return bad == 0 ? kHeld : kNotHeld;
 }
@@ -264,7 +284,8 @@
     const auto it = of_b.find(other);
     if (it != of_b.end()) pairs[key.scenario].emplace_back(run, it->second);
   }
-  if (pairs.empty()) throw std::runtime_error("no run of '" + a + "' has one of '" + b + "' with the same scenario and seed");
+  if (pairs.empty())
+    throw std::runtime_error("no run of '" + a + "' has one of '" + b + "' with the same scenario and seed");
   std::vector<Row> rows;
   for (const auto& [scenario, runs] : pairs) {
     for (const Figure& figure : ComparedFigures()) {
@@ -283,12 +304,13 @@
       rows.push_back(row);
     }
   }
-  std::printf("%-22s %-15s %5s %9s %9s %9s  95%% of such\n", "scenario", "figure", "pairs", a.c_str(), b.c_str(), "less");
+  std::printf("%-22s %-15s %5s %9s %9s %9s  95%% of such\n", "scenario", "figure", "pairs", a.c_str(),
+              b.c_str(), "less");
   for (const Row& row : rows) {
     const Difference& d = row.difference;
     const char* mark = !d.tells() ? "" : row.up == (d.mean > 0) ? "better" : "WORSE";
-    std::printf("%-22s %-15s %5zu %9.4f %9.4f %9.4f  %.4f to %.4f  %s\n", row.scenario.c_str(), row.figure.c_str(), d.pairs,
-                row.a, row.b, d.mean, d.low, d.high, mark);
+    std::printf("%-22s %-15s %5zu %9.4f %9.4f %9.4f  %.4f to %.4f  %s\n", row.scenario.c_str(),
+                row.figure.c_str(), d.pairs, row.a, row.b, d.mean, d.low, d.high, mark);
   }
   if (!asked.report.empty()) WriteFile(asked.report, ComparisonPage(a, b, rows));
   return kHeld;
@@ -311,12 +333,16 @@
     if (!run.is_null() && run.value("broken", 0) > 0) trouble = "rule " + run["breaks"][0].value("rule", "");
     if (trouble.empty() && run.contains("took_s")) {
       const double from = std::max(run.value("covered_s", 0.0), scenario.FaultsEnd());
-      const double back = run.value("recovered", false) ? run.value("covered_s", 0.0) + run.value("took_s", 0.0) : scenario.length_s;
-      if (scenario.length_s - from >= 17 && back - from > 12) trouble = "trouble outlives its cause by " + std::to_string(static_cast<int>(back - from)) + " s";
+      const double back = run.value("recovered", false)
+                              ? run.value("covered_s", 0.0) + run.value("took_s", 0.0)
+                              : scenario.length_s;
+      if (scenario.length_s - from >= 17 && back - from > 12)
+        trouble = "trouble outlives its cause by " + std::to_string(static_cast<int>(back - from)) + " s";
     }
     if (trouble.empty()) return true;
     ++found;
-    std::printf("%s seed %llu: %s\n", scenario.name.c_str(), static_cast<unsigned long long>(jobs[job].seed), trouble.c_str());
+    std::printf("%s seed %llu: %s\n", scenario.name.c_str(), static_cast<unsigned long long>(jobs[job].seed),
+                trouble.c_str());
     if (!into.empty()) {
       Scenario told = scenario;
       told.about = trouble + ", seed " + std::to_string(jobs[job].seed);
@@ -342,10 +368,12 @@
   }
   // The same kind of trouble: its first words.
   const std::string kind = whole.substr(0, 12);
-  const Scenario small = Shrunk(scenario, [&](const Scenario& s) { return trouble(s).starts_with(kind); }, budget);
+  const Scenario small = Shrunk(
+      scenario, [&](const Scenario& s) { return trouble(s).starts_with(kind); }, budget);
   World world(small, asked.seed, PlantedOf(asked.plant));
   const Outcome outcome = world.Run();
-  std::printf("# %s; seed %llu\n", TroubleIn(small, outcome, world.figures()).c_str(), static_cast<unsigned long long>(asked.seed));
+  std::printf("# %s; seed %llu\n", TroubleIn(small, outcome, world.figures()).c_str(),
+              static_cast<unsigned long long>(asked.seed));
   for (const Break& b : outcome.breaks) std::printf("# %.3f s: %s\n", b.at_s, b.what.c_str());
   std::printf("%s", ToToml(small).c_str());
   return kNotHeld;
@@ -353,13 +381,14 @@
 
 int PlayLoad(const LoadOrder& order) {
   const LoadResult result = Load(order);
-  std::printf("%llu due in %.1f s: %llu served, %llu refused, %llu failed\n", static_cast<unsigned long long>(result.due),
-              result.seconds, static_cast<unsigned long long>(result.served), static_cast<unsigned long long>(result.refused),
+  std::printf("%llu due in %.1f s: %llu served, %llu refused, %llu failed\n",
+              static_cast<unsigned long long>(result.due), result.seconds,
+              static_cast<unsigned long long>(result.served), static_cast<unsigned long long>(result.refused),
               static_cast<unsigned long long>(result.failed));
   std::printf("%-26s %9s %9s %9s %9s\n", "ms", "median", "95%", "99%", "99.9%");
   const auto row = [](const char* name, const Times& times) {
-    std::printf("%-26s %9.2f %9.2f %9.2f %9.2f\n", name, Quantile(times, 0.5), Quantile(times, 0.95), Quantile(times, 0.99),
-                Quantile(times, 0.999));
+    std::printf("%-26s %9.2f %9.2f %9.2f %9.2f\n", name, Quantile(times, 0.5), Quantile(times, 0.95),
+                Quantile(times, 0.99), Quantile(times, 0.999));
   };
   row("from when it was due", result.from_due);
   row("from when it was sent", result.from_sent);
@@ -385,7 +414,9 @@
   int budget = 200;
   LoadOrder load;
   const auto common = [&](CLI::App* sub) {
-    sub->add_option("scenario", asked.scenarios, "scenario files (TOML)")->required()->check(CLI::ExistingFile);
+    sub->add_option("scenario", asked.scenarios, "scenario files (TOML)")
+        ->required()
+        ->check(CLI::ExistingFile);
     sub->add_option("--set", asked.changes, "table.key=value, laid over the file");
   };
   auto* run = app.add_subcommand("run", "one run, with its verdicts");
@@ -396,7 +427,8 @@
   run->add_option("--plant", asked.plant, "a fault put in on purpose")
       ->check(CLI::IsMember({"none", "resend", "after-drain", "dropped-answer", "cold-flood"}));
   run->add_option("--expect", asked.expect, "the digest that it must have: a replay");
-  auto* sweep = app.add_subcommand("sweep", "many seeds and settings, side by side; goes on where it was cut short");
+  auto* sweep =
+      app.add_subcommand("sweep", "many seeds and settings, side by side; goes on where it was cut short");
   common(sweep);
   sweep->add_option("--seeds", seeds, "1..8");
   sweep->add_option("--vary", vary, "table.key=value,value: each of them");
@@ -408,7 +440,8 @@
   compare->add_option("b", b)->required();
   compare->add_option("--db", asked.db, "where results are kept")->check(CLI::ExistingFile);
   compare->add_option("--report", asked.report, "an HTML page, written here");
-  auto* search = app.add_subcommand("search", "scenarios changed at random, for broken rules and trouble that outlives its cause");
+  auto* search = app.add_subcommand(
+      "search", "scenarios changed at random, for broken rules and trouble that outlives its cause");
   common(search);
   search->add_option("--seed", asked.seed, "of the changes");
   search->add_option("--budget", budget, "runs")->check(CLI::Range(1, 1'000'000));
@@ -425,7 +458,8 @@
   real->add_option("--target", load.target, "path");
   real->add_option("--rate", load.rate, "a second")->check(CLI::Range(0.1, 1e6));
   real->add_option("--seconds", load.length_s, "how long")->check(CLI::Range(0.1, 3600.0));
-  real->add_option("--poisson", load.poisson_seed, "a seed: requests come as independent clients', not evenly");
+  real->add_option("--poisson", load.poisson_seed,
+                   "a seed: requests come as independent clients', not evenly");
   real->add_option("--timeout-ms", load.timeout_ms, "a request's time")->check(CLI::Range(1, 600'000));
   real->add_option("--connections", load.connections, "at most")->check(CLI::Range(1, 20'000));
   CLI11_PARSE(app, argc, argv);
--- a/lab/report.h
+++ b/lab/report.h
@@ -1,4 +1,5 @@
-// Pages that people look at: one HTML file each, with its pictures drawn in it and a table beside each; nothing is fetched.
+// Pages that people look at: one HTML file each, with its pictures drawn in it and a table beside each;
+// nothing is fetched.
 #pragma once
 
 #include <nlohmann/json.hpp>
--- a/lab/results.cpp
+++ b/lab/results.cpp
@@ -19,27 +19,28 @@
 }
 
 json ToJson(const Second& s) {
-  return {{"asked", s.asked},       {"good", s.good},           {"late", s.late},       {"refused", s.refused},
-          {"failed", s.failed},     {"tries", s.tries},         {"attempts", s.attempts}, {"connects", s.connects},
-          {"overload", s.overload}, {"nobody", s.nobody},       {"given_up", s.given_up}, {"copies", s.copies},
-          {"trials", s.trials},     {"shed", s.shed},           {"ejected", s.ejected}, {"returned", s.returned},
-          {"able", s.able},         {"demand", s.demand},       {"held", s.held},       {"cold", s.cold},
-          {"down", s.down},         {"p50", s.p50},             {"p95", s.p95},         {"p99", s.p99}};
+  return {{"asked", s.asked},       {"good", s.good},     {"late", s.late},         {"refused", s.refused},
+          {"failed", s.failed},     {"tries", s.tries},   {"attempts", s.attempts}, {"connects", s.connects},
+          {"overload", s.overload}, {"nobody", s.nobody}, {"given_up", s.given_up}, {"copies", s.copies},
+          {"trials", s.trials},     {"shed", s.shed},     {"ejected", s.ejected},   {"returned", s.returned},
+          {"able", s.able},         {"demand", s.demand}, {"held", s.held},         {"cold", s.cold},
+          {"down", s.down},         {"p50", s.p50},       {"p95", s.p95},           {"p99", s.p99}};
 }
 
 }  // namespace
 
 const std::vector<Figure>& ComparedFigures() {
-  static const std::vector<Figure> kFigures = {{"gained", true},     {"served", true},  {"p50_ms", false},
-                                               {"p99_ms", false},    {"took_s", false}, {"needless", false},
-                                               {"attempts_a_try", false}, {"connects_a_try", false}};
+  static const std::vector<Figure> kFigures = {
+      {"gained", true},  {"served", true},    {"p50_ms", false},         {"p99_ms", false},
+      {"took_s", false}, {"needless", false}, {"attempts_a_try", false}, {"connects_a_try", false}};
   return kFigures;
 }
 
 std::string HashOf(const Scenario& scenario) {
   const std::string text = ToToml(scenario);
   char hash[17];
-  std::snprintf(hash, sizeof hash, "%016llx", static_cast<unsigned long long>(XXH64(text.data(), text.size(), 0)));
+  std::snprintf(hash, sizeof hash, "%016llx",
+                static_cast<unsigned long long>(XXH64(text.data(), text.size(), 0)));
   return hash;
 }
 
@@ -68,7 +69,8 @@
               {"connects_a_try", static_cast<double>(sum.connects) / tries},
               {"ejected", sum.ejected}};
   json breaks = json::array();
-  for (const Break& b : outcome.breaks) breaks.push_back({{"rule", NameOf(b.rule)}, {"at_s", b.at_s}, {"what", b.what}});
+  for (const Break& b : outcome.breaks)
+    breaks.push_back({{"rule", NameOf(b.rule)}, {"at_s", b.at_s}, {"what", b.what}});
   run["breaks"] = std::move(breaks);
   if (const auto recovery = figures.recovery()) {
     run["covered_s"] = recovery->covered_s;
@@ -88,14 +90,16 @@
   constexpr int kBusyMs = 5000;
   db_.WaitFor(kBusyMs);
   db_.Run(
-      "CREATE TABLE IF NOT EXISTS run (label TEXT, scenario TEXT, settings TEXT, seed INTEGER, build TEXT, machine TEXT, "
+      "CREATE TABLE IF NOT EXISTS run (label TEXT, scenario TEXT, settings TEXT, seed INTEGER, build TEXT, "
+      "machine TEXT, "
       "json TEXT NOT NULL, PRIMARY KEY (label, scenario, settings, seed))");
 } catch (const std::runtime_error& e) {
   throw std::runtime_error(path + ": " + e.what());
 }
 
 bool Results::Has(const RunKey& key) const {
-  sql::Statement find(db_, "SELECT 1 FROM run WHERE label = ? AND scenario = ? AND settings = ? AND seed = ?");
+  sql::Statement find(db_,
+                      "SELECT 1 FROM run WHERE label = ? AND scenario = ? AND settings = ? AND seed = ?");
   return Bind(find, key).Step();
 }
 
@@ -109,7 +113,8 @@
   sql::Statement find(db_, "SELECT scenario, settings, seed, json FROM run WHERE label = ?");
   find.Text(1, label);
   while (find.Step()) {
-    runs[{label, find.Text(0), find.Text(1), static_cast<std::uint64_t>(find.Number(2))}] = json::parse(find.Text(3));
+    runs[{label, find.Text(0), find.Text(1), static_cast<std::uint64_t>(find.Number(2))}] =
+        json::parse(find.Text(3));
   }
   return runs;
 }
--- a/lab/results.h
+++ b/lab/results.h
@@ -1,5 +1,6 @@
-// What was played, kept in one SQLite file: by scenario, its settings, seed and the label of the build or settings that
-// are compared. A run that is there is not played again, so that a sweep which was cut short goes on where it was.
+// What was played, kept in one SQLite file: by scenario, its settings, seed and the label of the build or
+// settings that are compared. A run that is there is not played again, so that a sweep which was cut short
+// goes on where it was.
 #pragma once
 
 #include <cstdint>
@@ -30,8 +31,8 @@
 const std::vector<Figure>& ComparedFigures();
 
 // One run as it is kept and told.
-nlohmann::json ToJson(const Scenario& scenario, std::uint64_t seed, const Outcome& outcome, const Figures& figures,
-                      bool with_seconds);
+nlohmann::json ToJson(const Scenario& scenario, std::uint64_t seed, const Outcome& outcome,
+                      const Figures& figures, bool with_seconds);
 std::string HashOf(const Scenario& scenario);
 
 class Results {
@@ -40,7 +41,8 @@
   explicit Results(const std::string& path);
 
   bool Has(const RunKey& key) const;
-  void Keep(const RunKey& key, const std::string& build, const std::string& machine, const nlohmann::json& run);
+  void Keep(const RunKey& key, const std::string& build, const std::string& machine,
+            const nlohmann::json& run);
   std::map<RunKey, nlohmann::json> Of(const std::string& label) const;
   std::vector<std::string> Labels() const;
 
--- a/lab/rules.cpp
+++ b/lab/rules.cpp
@@ -28,7 +28,8 @@
 std::size_t Rules::total() const { return std::accumulate(counts_.begin(), counts_.end(), std::size_t{0}); }
 
 void Rules::Broken(Rule rule, TimePoint at, std::string what) {
-  if (counts_[static_cast<std::size_t>(rule)]++ == 0) first_.push_back({rule, InSeconds(at), std::move(what)});
+  if (counts_[static_cast<std::size_t>(rule)]++ == 0)
+    first_.push_back({rule, InSeconds(at), std::move(what)});
 }
 
 void Rules::Forget(TimePoint now) {
@@ -56,8 +57,9 @@
       }
       if (open->answered) Broken(Rule::kLost, h.at, request + " was answered twice");
       if (!open->left && h.at > open->until + limits_.grace) {
-        Broken(Rule::kLost, h.at, request + " was answered " +
-                                      std::to_string(InMilliseconds(h.at - open->until)) + " ms after its time");
+        Broken(Rule::kLost, h.at,
+               request + " was answered " + std::to_string(InMilliseconds(h.at - open->until)) +
+                   " ms after its time");
       }
       if (unsafe && h.ending == Ending::kRefused && (open->unproven > 0 || open->runs > 0)) {
         Broken(Rule::kTwice, h.at, request + ", unsafe, was refused, and may have run");
@@ -91,9 +93,9 @@
       if (sidecar == leaving_.end()) break;
       const auto told = sidecar->second.find(h.server);
       if (told != sidecar->second.end() && h.at > told->second + limits_.drain) {
-        Broken(Rule::kDrain, h.at, request + " was sent to server " + std::to_string(h.server) + " " +
-                                       std::to_string(InMilliseconds(h.at - told->second)) +
-                                       " ms after it was told as leaving");
+        Broken(Rule::kDrain, h.at,
+               request + " was sent to server " + std::to_string(h.server) + " " +
+                   std::to_string(InMilliseconds(h.at - told->second)) + " ms after it was told as leaving");
       }
       break;
     }
@@ -141,8 +143,9 @@
   const double warmth = limits_.cold_from + (1 - limits_.cold_from) * age;
   const double can = warmth * server.capacity * InMilliseconds(limits_.fall_window);
   if (server.sum > limits_.fall_multiple * can) {
-    Broken(Rule::kCold, h.at, "server " + std::to_string(h.server) + ", " + std::to_string(InSeconds(h.at - server.booted)) +
-                                  " s old, was sent " + std::to_string(server.sum / can) + " times what it can do");
+    Broken(Rule::kCold, h.at,
+           "server " + std::to_string(h.server) + ", " + std::to_string(InSeconds(h.at - server.booted)) +
+               " s old, was sent " + std::to_string(server.sum / can) + " times what it can do");
     server.work.clear();
     server.sum = 0;
   }
--- a/lab/rules.h
+++ b/lab/rules.h
@@ -1,5 +1,5 @@
-// The four rules, checked over what happens, whichever world tells it. Each break says when, whom it concerns and what
-// had gone before.
+// The four rules, checked over what happens, whichever world tells it. Each break says when, whom it concerns
+// and what had gone before.
 #pragma once
 
 #include <array>
@@ -26,10 +26,10 @@
 class Rules {
  public:
   struct Limits {
-    std::vector<bool> unsafe;               // by class
-    Duration grace{50'000};                 // beyond a request's time
-    Duration drain{550'000};                // after a leaving was told, with the grace of sockets
-    double fall_multiple = 4;               // of what a cold server can do
+    std::vector<bool> unsafe;  // by class
+    Duration grace{50'000};    // beyond a request's time
+    Duration drain{550'000};   // after a leaving was told, with the grace of sockets
+    double fall_multiple = 4;  // of what a cold server can do
     Duration fall_window{1'000'000};
     double cold_from = 0.2;
     Duration cold_time{15'000'000};
@@ -56,11 +56,11 @@
     bool answered = false;
     bool refused = false;
     bool left = false;
-    TimePoint told;    // its end
+    TimePoint told;  // its end
   };
   struct Server {
     TimePoint booted = TimePoint::min();
-    double capacity = 0;  // warm, milliseconds of work a millisecond
+    double capacity = 0;                            // warm, milliseconds of work a millisecond
     std::deque<std::pair<TimePoint, double>> work;  // taken in within the window
     double sum = 0;
   };
@@ -72,7 +72,8 @@
   const Limits limits_;
   std::unordered_map<std::uint64_t, Open> open_;
   std::deque<std::pair<TimePoint, std::uint64_t>> ended_;  // kept for a while: their copies may still run
-  std::unordered_map<std::uint64_t, std::unordered_map<std::size_t, TimePoint>> leaving_;  // by sidecar and server
+  std::unordered_map<std::uint64_t, std::unordered_map<std::size_t, TimePoint>>
+      leaving_;  // by sidecar and server
   std::vector<Server> servers_;
   std::vector<Break> first_;
   std::array<std::size_t, 4> counts_{};
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -1,20 +1,22 @@
 #include "lab/scenario.h"
 
+#include <toml++/toml.h>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
 #include <fstream>
 #include <set>
 #include <sstream>
-#include <toml++/toml.h>
 
 #include "lab/sim.h"
 
 namespace mothrack::lab {
 namespace {
 
-constexpr std::array<const char*, 13> kKinds = {"cut-zone", "lose-zone", "silent",  "slow",  "errors", "flap", "replace",
-                                                "kill",     "restart",   "burst", "crowd", "stale",  "impatient"};
+constexpr std::array<const char*, 13> kKinds = {"cut-zone", "lose-zone", "silent",   "slow",    "errors",
+                                                "flap",     "replace",   "kill",     "restart", "burst",
+                                                "crowd",    "stale",     "impatient"};
 constexpr std::array<const char*, 3> kEffects = {"safe", "keyed", "unsafe"};
 
 // One table: what is read from it is marked, what is left over is a fault.
@@ -136,7 +138,8 @@
   if (zoned && std::find(s.zones.begin(), s.zones.end(), f.zone) == s.zones.end()) {
     t.Fail("zone", "'" + f.zone + "' is none of [servers] zones");
   }
-  if (f.kind == FaultKind::kFlap && f.size < 0.1) t.Fail("size", "give the seconds that it is away, at least 0.1");
+  if (f.kind == FaultKind::kFlap && f.size < 0.1)
+    t.Fail("size", "give the seconds that it is away, at least 0.1");
   t.Done();
   return f;
 }
@@ -145,7 +148,8 @@
 
 const char* NameOf(FaultKind kind) { return kKinds.at(static_cast<std::size_t>(kind)); }
 
-Scenario ParseScenario(const std::string& text, const std::string& path, const std::vector<std::string>& changes) {
+Scenario ParseScenario(const std::string& text, const std::string& path,
+                       const std::vector<std::string>& changes) {
   toml::table root;
   try {
     root = toml::parse(text, path);
@@ -257,36 +261,59 @@
 std::string ToToml(const Scenario& s) {
   toml::array zones;
   for (const std::string& zone : s.zones) zones.push_back(zone);
-  toml::table root{
-      {"name", s.name},
-      {"about", s.about},
-      {"length_s", s.length_s},
-      {"fleet", toml::table{{"sidecars", static_cast<std::int64_t>(s.sidecars)}, {"skew", s.skew}, {"start_ms", s.start_ms}}},
-      {"servers", toml::table{{"count", static_cast<std::int64_t>(s.servers)}, {"zones", zones}, {"cores", s.cores},
-                              {"slowest", s.slowest}, {"fastest", s.fastest}, {"queue_per_core", s.queue_per_core},
-                              {"thrash", s.thrash}, {"thrash_at", s.thrash_at}, {"cold_from", s.cold_from},
-                              {"cold_s", s.cold_s}, {"pause_every_s", s.pause_every_s}, {"pause_ms", s.pause_ms},
-                              {"error_rate", s.error_rate}, {"drain_s", s.drain_s}}},
-      {"net", toml::table{{"same_ms", s.same_ms}, {"cross_ms", s.cross_ms}, {"jitter", s.jitter},
-                          {"handshake_ms", s.handshake_ms}, {"notice_from_s", s.notice_from_s},
-                          {"notice_to_s", s.notice_to_s}}},
-      {"load", toml::table{{"use", s.use}, {"wave", s.wave}, {"wave_s", s.wave_s}, {"retries", s.retries},
-                           {"backoff_ms", s.backoff_ms}}},
-      {"allow", toml::table{{"max_attempts", static_cast<std::int64_t>(s.max_attempts)}, {"second_copies", s.second_copies}}}};
+  toml::table root{{"name", s.name},
+                   {"about", s.about},
+                   {"length_s", s.length_s},
+                   {"fleet", toml::table{{"sidecars", static_cast<std::int64_t>(s.sidecars)},
+                                         {"skew", s.skew},
+                                         {"start_ms", s.start_ms}}},
+                   {"servers", toml::table{{"count", static_cast<std::int64_t>(s.servers)},
+                                           {"zones", zones},
+                                           {"cores", s.cores},
+                                           {"slowest", s.slowest},
+                                           {"fastest", s.fastest},
+                                           {"queue_per_core", s.queue_per_core},
+                                           {"thrash", s.thrash},
+                                           {"thrash_at", s.thrash_at},
+                                           {"cold_from", s.cold_from},
+                                           {"cold_s", s.cold_s},
+                                           {"pause_every_s", s.pause_every_s},
+                                           {"pause_ms", s.pause_ms},
+                                           {"error_rate", s.error_rate},
+                                           {"drain_s", s.drain_s}}},
+                   {"net", toml::table{{"same_ms", s.same_ms},
+                                       {"cross_ms", s.cross_ms},
+                                       {"jitter", s.jitter},
+                                       {"handshake_ms", s.handshake_ms},
+                                       {"notice_from_s", s.notice_from_s},
+                                       {"notice_to_s", s.notice_to_s}}},
+                   {"load", toml::table{{"use", s.use},
+                                        {"wave", s.wave},
+                                        {"wave_s", s.wave_s},
+                                        {"retries", s.retries},
+                                        {"backoff_ms", s.backoff_ms}}},
+                   {"allow", toml::table{{"max_attempts", static_cast<std::int64_t>(s.max_attempts)},
+                                         {"second_copies", s.second_copies}}}};
   toml::table must;
   if (s.served_at_least) must.insert("served_at_least", *s.served_at_least);
   if (s.recovers_within_s) must.insert("recovers_within_s", *s.recovers_within_s);
   if (!must.empty()) root.insert("must", must);
   toml::array classes;
   for (const ClassLoad& c : s.classes) {
-    classes.push_back(toml::table{{"name", c.name}, {"share", c.share}, {"work_ms", c.work_ms}, {"work_cv", c.work_cv},
-                                  {"aim_ms", c.aim_ms}, {"deadline_ms", c.deadline_ms}, {"worth", c.worth},
+    classes.push_back(toml::table{{"name", c.name},
+                                  {"share", c.share},
+                                  {"work_ms", c.work_ms},
+                                  {"work_cv", c.work_cv},
+                                  {"aim_ms", c.aim_ms},
+                                  {"deadline_ms", c.deadline_ms},
+                                  {"worth", c.worth},
                                   {"effect", kEffects.at(static_cast<std::size_t>(c.effect))}});
   }
   root.insert("class", classes);
   toml::array faults;
   for (const Fault& f : s.faults) {
-    toml::table fault{{"kind", NameOf(f.kind)}, {"at_s", f.at_s}, {"len_s", f.len_s}, {"part", f.part}, {"size", f.size}};
+    toml::table fault{
+        {"kind", NameOf(f.kind)}, {"at_s", f.at_s}, {"len_s", f.len_s}, {"part", f.part}, {"size", f.size}};
     if (!f.zone.empty()) fault.insert("zone", f.zone);
     faults.push_back(fault);
   }
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -1,5 +1,5 @@
-// What is played: a world, its load, the faults over time, and what must hold. Read from TOML; every fault of a file names
-// table, key and mend. Times are milliseconds or seconds, as the keys say; shares are of 1.
+// What is played: a world, its load, the faults over time, and what must hold. Read from TOML; every fault of
+// a file names table, key and mend. Times are milliseconds or seconds, as the keys say; shares are of 1.
 #pragma once
 
 #include <cstdint>
@@ -25,7 +25,8 @@
   kSlow,       // a share of the servers takes `size` times as long
   kErrors,     // a share of the servers answers `size` of its calls with an error
   kFlap,       // a share of the servers dies and is back after `size` seconds, again and again
-  kReplace,    // a share of the servers is replaced, one after the other over the time: told as leaving, then gone
+  kReplace,    // a share of the servers is replaced, one after the other over the time: told as leaving, then
+               // gone
   kKill,       // a share of the sidecars is killed at once and started anew
   kRestart,    // all sidecars have a planned restart, one after the other over the time
   kBurst,      // `size` times the load
@@ -108,7 +109,8 @@
 
 // `changes`: "table.key=value" each, laid over the file.
 Scenario LoadScenario(const std::string& path, const std::vector<std::string>& changes = {});
-Scenario ParseScenario(const std::string& text, const std::string& path, const std::vector<std::string>& changes = {});
+Scenario ParseScenario(const std::string& text, const std::string& path,
+                       const std::vector<std::string>& changes = {});
 // As a file that gives the same scenario.
 std::string ToToml(const Scenario& scenario);
 const char* NameOf(FaultKind kind);
--- a/lab/search.cpp
+++ b/lab/search.cpp
@@ -39,7 +39,8 @@
   const double from = std::max(recovery->covered_s, scenario.FaultsEnd());
   if (scenario.length_s - from < kOutlives + 5) return {};
   const double over = recovery->recovered ? recovery->recovered_s - from : scenario.length_s - from;
-  if (over > kOutlives) return "trouble outlives its cause by " + std::to_string(static_cast<int>(over)) + " s";
+  if (over > kOutlives)
+    return "trouble outlives its cause by " + std::to_string(static_cast<int>(over)) + " s";
   return {};
 }
 
@@ -64,7 +65,8 @@
     f.len_s = Moved(std::max(f.len_s, 0.5), random, 0, 20);
     f.part = Moved(f.part, random, 0, 0.8);
   }
-  while (s.faults.empty() || (s.faults.size() < 4 && random.Chance(0.5))) s.faults.push_back(DrawnFault(s, random));
+  while (s.faults.empty() || (s.faults.size() < 4 && random.Chance(0.5)))
+    s.faults.push_back(DrawnFault(s, random));
   return s;
 }
 
@@ -92,7 +94,9 @@
       if (change(candidate)) keep(candidate);
     };
     halve([](Scenario& s) { return s.sidecars > 1 && (s.sidecars = s.sidecars / 2, true); });
-    halve([](Scenario& s) { return s.servers > 2 && (s.servers = std::max<std::size_t>(2, s.servers / 2), true); });
+    halve([](Scenario& s) {
+      return s.servers > 2 && (s.servers = std::max<std::size_t>(2, s.servers / 2), true);
+    });
     halve([](Scenario& s) {
       if (s.length_s <= kLeastLength) return false;
       s.length_s = std::max(kLeastLength, std::floor(s.length_s / 2));
--- a/lab/search.h
+++ b/lab/search.h
@@ -1,4 +1,5 @@
-// Looks for trouble: scenarios changed at random from given ones, and the smallest that still shows what was found.
+// Looks for trouble: scenarios changed at random from given ones, and the smallest that still shows what was
+// found.
 #pragma once
 
 #include <cstdint>
@@ -14,12 +15,12 @@
 // What is wrong with a run; empty: nothing. A broken rule, or trouble that outlives its cause.
 std::string TroubleIn(const Scenario& scenario, const Outcome& outcome, const Figures& figures);
 
-// Another scenario like it: its world, load and faults moved at random, faults added and taken away. Valid whatever is
-// drawn.
+// Another scenario like it: its world, load and faults moved at random, faults added and taken away. Valid
+// whatever is drawn.
 Scenario Mutated(const Scenario& scenario, Random& random);
 
-// The smallest that `shows` still: faults taken away, fewer sidecars and servers, a shorter night, one class. Tries at
-// most `budget` runs.
+// The smallest that `shows` still: faults taken away, fewer sidecars and servers, a shorter night, one class.
+// Tries at most `budget` runs.
 Scenario Shrunk(Scenario scenario, const std::function<bool(const Scenario&)>& shows, int budget);
 
 }  // namespace mothrack::lab
--- a/lab/server.cpp
+++ b/lab/server.cpp
@@ -28,7 +28,8 @@
     Job job = std::move(queue_.front());
     queue_.pop_front();
     const double crowd = static_cast<double>(held() + 1) / scenario_.cores;
-    const double thrash = 1 + scenario_.thrash * std::max(0.0, crowd / std::max(scenario_.thrash_at, 1e-9) - 1);
+    const double thrash =
+        1 + scenario_.thrash * std::max(0.0, crowd / std::max(scenario_.thrash_at, 1e-9) - 1);
     double ms = job.work / (speed_ * warmth()) * slowed_ * thrash;
     if (scenario_.pause_ms > 0 && sim_.now() >= pause_at_) {
       ms += scenario_.pause_ms;
--- a/lab/server.h
+++ b/lab/server.h
@@ -1,4 +1,5 @@
-// A page server: cores that work through a bounded queue, slower when crowded, cold after its start, pausing now and then.
+// A page server: cores that work through a bounded queue, slower when crowded, cold after its start, pausing
+// now and then.
 #pragma once
 
 #include <cstdint>
--- a/lab/sim.h
+++ b/lab/sim.h
@@ -1,5 +1,5 @@
-// Made-up time: events in the order of their moments, and of their making where these are equal. One thread, no clock of
-// the machine's: the same seed gives the same order.
+// Made-up time: events in the order of their moments, and of their making where these are equal. One thread,
+// no clock of the machine's: the same seed gives the same order.
 #pragma once
 
 #include <algorithm>
@@ -14,7 +14,9 @@
 
 namespace mothrack::lab {
 
-inline Duration Milliseconds(double ms) { return Duration(static_cast<Duration::rep>(std::llround(ms * 1000))); }
+inline Duration Milliseconds(double ms) {
+  return Duration(static_cast<Duration::rep>(std::llround(ms * 1000)));
+}
 inline Duration SecondsOf(double s) { return Milliseconds(s * 1000); }
 inline double InSeconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
 inline double InSeconds(TimePoint t) { return InSeconds(t.time_since_epoch()); }
--- a/lab/statistics.h
+++ b/lab/statistics.h
@@ -10,7 +10,7 @@
 struct Difference {
   std::size_t pairs = 0;
   double mean = 0;
-  double low = 0;   // of the interval that has the true mean in 95 of 100 such comparisons, by Student's t
+  double low = 0;  // of the interval that has the true mean in 95 of 100 such comparisons, by Student's t
   double high = 0;
   bool tells() const { return pairs >= 2 && (low > 0 || high < 0); }
 };
--- a/lab/sweep.h
+++ b/lab/sweep.h
@@ -16,8 +16,8 @@
   std::uint64_t seed = 0;
 };
 
-// Plays them, `at_once` at a time, and hands each on as it ends, in whatever order; null where its process died.
-// Stops, with nothing more begun, when `done` says false.
+// Plays them, `at_once` at a time, and hands each on as it ends, in whatever order; null where its process
+// died. Stops, with nothing more begun, when `done` says false.
 void PlayAll(const std::vector<Job>& jobs, std::size_t at_once,
              const std::function<bool(std::size_t job, const nlohmann::json& run)>& done);
 
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -56,7 +56,9 @@
     }
     inner_.Send(id, to, std::move(message), timeout, std::move(hooks));
   }
-  void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override { inner_.Probe(id, uid, std::move(on_end)); }
+  void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override {
+    inner_.Probe(id, uid, std::move(on_end));
+  }
   void Cancel(ExchangeId id) override { inner_.Cancel(id); }
   void CloseIdle(const std::string& uid) override { inner_.CloseIdle(uid); }
 
@@ -81,12 +83,13 @@
 struct World::Hash {
   Hash() { XXH64_reset(state.get(), 0); }
   void Add(const Happening& h) {
-    const std::uint64_t words[] = {static_cast<std::uint64_t>(h.kind),
-                                   static_cast<std::uint64_t>(h.at.time_since_epoch().count()),
-                                   h.sidecar,
-                                   h.request,
-                                   h.server,
-                                   static_cast<std::uint64_t>(h.ending) << 8 | static_cast<std::uint64_t>(h.outcome)};
+    const std::uint64_t words[] = {
+        static_cast<std::uint64_t>(h.kind),
+        static_cast<std::uint64_t>(h.at.time_since_epoch().count()),
+        h.sidecar,
+        h.request,
+        h.server,
+        static_cast<std::uint64_t>(h.ending) << 8 | static_cast<std::uint64_t>(h.outcome)};
     XXH64_update(state.get(), words, sizeof words);
   }
   struct Free {
@@ -139,9 +142,11 @@
       hash_(std::make_unique<Hash>()) {
   sim_.RunUntil(TimePoint(kEpoch));
   for (std::size_t i = 0; i < scenario_.servers; ++i) {
-    const double along = scenario_.servers > 1 ? static_cast<double>(i / scenario_.zones.size()) /
-                                                     std::max(1.0, static_cast<double>((scenario_.servers - 1) / scenario_.zones.size()))
-                                               : 0;
+    const double along =
+        scenario_.servers > 1
+            ? static_cast<double>(i / scenario_.zones.size()) /
+                  std::max(1.0, static_cast<double>((scenario_.servers - 1) / scenario_.zones.size()))
+            : 0;
     const double speed = scenario_.slowest + (scenario_.fastest - scenario_.slowest) * std::min(1.0, along);
     AddServer(i % scenario_.zones.size(), speed);
     warm_ += machines_.back().server->capacity();
@@ -242,7 +247,8 @@
   Machine& machine = machines_[server];
   machine.server->Boot();
   machine.started = sim_.now();
-  machine.boot_ms = std::chrono::duration_cast<std::chrono::milliseconds>(sim_.now().time_since_epoch()).count();
+  machine.boot_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(sim_.now().time_since_epoch()).count();
   machine.state = UpstreamState::kServing;
   Happening h;
   h.kind = Happening::Kind::kBooted;
@@ -258,7 +264,8 @@
   }
 }
 
-MembershipList World::ListOf(const std::vector<std::size_t>& servers, kestrellb::MembershipUpdate::Kind kind) const {
+MembershipList World::ListOf(const std::vector<std::size_t>& servers,
+                             kestrellb::MembershipUpdate::Kind kind) const {
   MembershipList list;
   list.update.kind = kind;
   for (const std::size_t server : servers) {
@@ -298,21 +305,23 @@
   sidecar.life = std::make_shared<int>(0);
   sidecar.told = {};
   sidecar.connects = 0;
-  sidecar.carrier =
-      std::make_unique<Carrier>(sim_, static_cast<Links&>(*this), scenario_, sidecar.id, sidecar.zone, sidecar.random.Fork());
+  sidecar.carrier = std::make_unique<Carrier>(sim_, static_cast<Links&>(*this), scenario_, sidecar.id,
+                                              sidecar.zone, sidecar.random.Fork());
   Transport* transport = sidecar.carrier.get();
   if (planted_ != Planted::kNone) {
-    sidecar.saboteur = std::make_unique<Saboteur>(
-        *sidecar.carrier, scenario_, planted_, sidecar.random.Fork(), [this](bool leaving) -> std::optional<std::size_t> {
-          for (std::size_t i = machines_.size(); i-- > 0;) {
-            const Machine& m = machines_[i];
-            if (leaving ? m.state == UpstreamState::kDraining
-                        : m.started && m.server->up() && m.server->warmth() < 1 && m.state == UpstreamState::kServing) {
-              return i;
-            }
-          }
-          return std::nullopt;
-        });
+    sidecar.saboteur =
+        std::make_unique<Saboteur>(*sidecar.carrier, scenario_, planted_, sidecar.random.Fork(),
+                                   [this](bool leaving) -> std::optional<std::size_t> {
+                                     for (std::size_t i = machines_.size(); i-- > 0;) {
+                                       const Machine& m = machines_[i];
+                                       if (leaving ? m.state == UpstreamState::kDraining
+                                                   : m.started && m.server->up() && m.server->warmth() < 1 &&
+                                                         m.state == UpstreamState::kServing) {
+                                         return i;
+                                       }
+                                     }
+                                     return std::nullopt;
+                                   });
     transport = sidecar.saboteur.get();
   }
   sidecar.dispatcher =
@@ -354,7 +363,8 @@
 void World::AwaitEmpty(Sidecar& sidecar, std::weak_ptr<int> life, TimePoint most) {
   if (life.expired()) return;
   if (sidecar.dispatcher->open() == 0 || sim_.now() >= most) return Stop(sidecar);
-  sim_.After(std::chrono::milliseconds(100), [this, &sidecar, life, most] { AwaitEmpty(sidecar, life, most); });
+  sim_.After(std::chrono::milliseconds(100),
+             [this, &sidecar, life, most] { AwaitEmpty(sidecar, life, most); });
 }
 
 double World::Load() const {
@@ -367,37 +377,39 @@
   // Looked at again where the rate may have risen meanwhile.
   const double wait = sidecar.random.Exponential(1 / std::max(rate, 1e-9));
   constexpr double kMostWait = 0.25;
-  sim_.After(SecondsOf(std::min(wait, kMostWait)), [this, &sidecar, wait, life = std::weak_ptr(sidecar.life)] {
-    if (life.expired() || !sidecar.open) return;
-    if (wait <= kMostWait) {
-      double draw = 0;
-      for (const ClassLoad& c : scenario_.classes) draw += c.share;
-      draw *= arrivals_.Uniform();
-      std::size_t cls = 0;
-      while (cls + 1 < scenario_.classes.size() && draw >= scenario_.classes[cls].share) {
-        draw -= scenario_.classes[cls++].share;
-      }
-      const ClassLoad& c = scenario_.classes[cls];
-      auto want = std::make_shared<Want>();
-      want->wish = ++last_wish_;
-      want->cls = cls;
-      want->asked = sim_.now();
-      want->until = sim_.now() + Milliseconds(c.deadline_ms);
-      want->work = c.work_ms * arrivals_.LogNormal(c.work_cv);
-      want->impatient = impatient_ > 0 && arrivals_.Chance(impatient_);
-      const double retries = scenario_.retries;
-      want->most_tries = 1 + static_cast<int>(retries) + (arrivals_.Chance(retries - std::floor(retries)) ? 1 : 0);
-      if (want->impatient) want->most_tries += 2;
-      sidecar.wants[want->wish] = want;
-      Happening h;
-      h.kind = Happening::Kind::kAsked;
-      h.request = want->wish;
-      h.cls = cls;
-      Tell(h);
-      Ask(sidecar, want);
-    }
-    NextArrival(sidecar);
-  });
+  sim_.After(
+      SecondsOf(std::min(wait, kMostWait)), [this, &sidecar, wait, life = std::weak_ptr(sidecar.life)] {
+        if (life.expired() || !sidecar.open) return;
+        if (wait <= kMostWait) {
+          double draw = 0;
+          for (const ClassLoad& c : scenario_.classes) draw += c.share;
+          draw *= arrivals_.Uniform();
+          std::size_t cls = 0;
+          while (cls + 1 < scenario_.classes.size() && draw >= scenario_.classes[cls].share) {
+            draw -= scenario_.classes[cls++].share;
+          }
+          const ClassLoad& c = scenario_.classes[cls];
+          auto want = std::make_shared<Want>();
+          want->wish = ++last_wish_;
+          want->cls = cls;
+          want->asked = sim_.now();
+          want->until = sim_.now() + Milliseconds(c.deadline_ms);
+          want->work = c.work_ms * arrivals_.LogNormal(c.work_cv);
+          want->impatient = impatient_ > 0 && arrivals_.Chance(impatient_);
+          const double retries = scenario_.retries;
+          want->most_tries =
+              1 + static_cast<int>(retries) + (arrivals_.Chance(retries - std::floor(retries)) ? 1 : 0);
+          if (want->impatient) want->most_tries += 2;
+          sidecar.wants[want->wish] = want;
+          Happening h;
+          h.kind = Happening::Kind::kAsked;
+          h.request = want->wish;
+          h.cls = cls;
+          Tell(h);
+          Ask(sidecar, want);
+        }
+        NextArrival(sidecar);
+      });
 }
 
 void World::Ask(Sidecar& sidecar, std::shared_ptr<Want> want) {
@@ -437,7 +449,8 @@
              });
 }
 
-void World::Heard(Sidecar& sidecar, const std::shared_ptr<Want>& want, std::uint64_t request, const Final& final) {
+void World::Heard(Sidecar& sidecar, const std::shared_ptr<Want>& want, std::uint64_t request,
+                  const Final& final) {
   if (planted_ == Planted::kDroppedAnswer && request % 997 == 0) return;
   Happening h;
   h.kind = Happening::Kind::kFinal;
@@ -446,8 +459,9 @@
   h.cls = want->cls;
   h.ending = EndingOf(final);
   Tell(h);
-  const bool again = h.ending != Ending::kServed && want->tries < want->most_tries &&
-                     (h.ending == Ending::kRefused || scenario_.classes[want->cls].effect == kestrellb::Effect::kSafe);
+  const bool again =
+      h.ending != Ending::kServed && want->tries < want->most_tries &&
+      (h.ending == Ending::kRefused || scenario_.classes[want->cls].effect == kestrellb::Effect::kSafe);
   Duration wait = Milliseconds(scenario_.backoff_ms * (0.5 + sidecar.random.Uniform()) * want->tries);
   wait = std::max(wait, final.retry_after);
   if (!again || sim_.now() + wait >= want->until) {
@@ -545,13 +559,13 @@
       const auto chosen = some();
       for (std::size_t n = 0; n < chosen.size(); ++n) {
         const std::size_t i = chosen[n];
-        const double along = static_cast<double>(n) / static_cast<double>(std::max<std::size_t>(1, chosen.size()));
+        const double along =
+            static_cast<double>(n) / static_cast<double>(std::max<std::size_t>(1, chosen.size()));
         sim_.After(SecondsOf(fault.len_s * along), [this, i] {
           machines_[i].state = UpstreamState::kDraining;
           Changed(i);
-          sim_.After(kReplacement, [this, i] {
-            BootServer(AddServer(machines_[i].zone, machines_[i].speed));
-          });
+          sim_.After(kReplacement,
+                     [this, i] { BootServer(AddServer(machines_[i].zone, machines_[i].speed)); });
           sim_.After(SecondsOf(scenario_.drain_s), [this, i] {
             machines_[i].state = UpstreamState::kGone;
             KillServer(i);
--- a/lab/world.h
+++ b/lab/world.h
@@ -1,5 +1,5 @@
-// A whole night in made-up time: sidecars with the program's own dispatcher and decision module in them, servers, zones,
-// discovery, clients, and trouble. One seed, one history.
+// A whole night in made-up time: sidecars with the program's own dispatcher and decision module in them,
+// servers, zones, discovery, clients, and trouble. One seed, one history.
 #pragma once
 
 #include <iostream>
@@ -64,7 +64,8 @@
   void KillServer(std::size_t server);
   void BootServer(std::size_t server);
   void Changed(std::size_t server);
-  MembershipList ListOf(const std::vector<std::size_t>& servers, kestrellb::MembershipUpdate::Kind kind) const;
+  MembershipList ListOf(const std::vector<std::size_t>& servers,
+                        kestrellb::MembershipUpdate::Kind kind) const;
   void Deliver(Sidecar& sidecar, std::size_t server);
 
   // Sidecars and clients.
--- a/sql/sqlite.h
+++ b/sql/sqlite.h
@@ -1,5 +1,5 @@
-// SQLite as the project's packages use it: what fails throws std::runtime_error with SQLite's own words, and everything is
-// closed with its object. Who includes this links SQLite; the sidecar does not.
+// SQLite as the project's packages use it: what fails throws std::runtime_error with SQLite's own words, and
+// everything is closed with its object. Who includes this links SQLite; the sidecar does not.
 #pragma once
 
 #include <sqlite3.h>
@@ -14,7 +14,8 @@
  public:
   // Made where it is not there.
   explicit Database(const std::string& path) {
-    if (sqlite3_open_v2(path.c_str(), &db_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr) == SQLITE_OK) return;
+    if (sqlite3_open_v2(path.c_str(), &db_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr) == SQLITE_OK)
+      return;
     const std::string why = db_ == nullptr ? "no memory" : sqlite3_errmsg(db_);
     sqlite3_close(db_);
     throw std::runtime_error(why);
@@ -27,7 +28,8 @@
   // Another process that looks at the file may hold it so long, in milliseconds.
   void WaitFor(int ms) { sqlite3_busy_timeout(db_, ms); }
   void Run(const char* sql) {
-    if (sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) != SQLITE_OK) throw std::runtime_error(sqlite3_errmsg(db_));
+    if (sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) != SQLITE_OK)
+      throw std::runtime_error(sqlite3_errmsg(db_));
   }
 
  private:
@@ -37,7 +39,8 @@
 class Statement {
  public:
   Statement(const Database& db, const char* sql) : db_(db.get()) {
-    if (sqlite3_prepare_v2(db_, sql, -1, &statement_, nullptr) != SQLITE_OK) throw std::runtime_error(sqlite3_errmsg(db_));
+    if (sqlite3_prepare_v2(db_, sql, -1, &statement_, nullptr) != SQLITE_OK)
+      throw std::runtime_error(sqlite3_errmsg(db_));
   }
   ~Statement() { sqlite3_finalize(statement_); }
   Statement(const Statement&) = delete;
--- a/tests/fleet_traffic_test.cpp
+++ b/tests/fleet_traffic_test.cpp
@@ -1,5 +1,5 @@
-// Forty real sidecars under four agents in two halls, with light traffic through all of them, while the fleet is changed
-// and agents or the tool are killed. FLEET_RUNS sets how many runs, FLEET_SEED the first seed.
+// Forty real sidecars under four agents in two halls, with light traffic through all of them, while the fleet
+// is changed and agents or the tool are killed. FLEET_RUNS sets how many runs, FLEET_SEED the first seed.
 #include <signal.h>
 
 #include <chrono>
@@ -61,7 +61,8 @@
     const std::string to = seed % 2 == 0 ? "g1" : "g2";
     std::vector<std::string> apply = {"restart"};
     if (to == "g2") apply = {"apply", "g2", "--dir", fleet.Generation("g2")};
-    for (const char* word : {"--why", "a test", "--max-unavailable", "5", "--watch-ms", "100"}) apply.push_back(word);
+    for (const char* word : {"--why", "a test", "--max-unavailable", "5", "--watch-ms", "100"})
+      apply.push_back(word);
     const pid_t tool = fleet.StartCtl(apply);
     for (int kills = 0; kills < 4; ++kills) {
       std::this_thread::sleep_for(milliseconds(random() % 2500));
@@ -91,8 +92,8 @@
     std::cout << "seed " << seed << ": served " << traffic.count(End::kServed) << ", refused "
               << traffic.count(End::kRefused) << ", failed " << traffic.count(End::kFailed) << ", not taken "
               << traffic.count(End::kNotTaken) << ", crossed " << traffic.count(End::kCrossed) << ", lost "
-              << traffic.count(End::kLost) << "; tool " << (killed ? "killed" : "ended with ") << (killed ? "" : std::to_string(code))
-              << std::endl;
+              << traffic.count(End::kLost) << "; tool " << (killed ? "killed" : "ended with ")
+              << (killed ? "" : std::to_string(code)) << std::endl;
   }
 }
 
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -1,5 +1,5 @@
-// The lab: the same seed gives the same night, the rules' checkers find what is planted, figures say what they say, a
-// sweep that is cut short goes on, load tells of stalls. No socket but loopback's.
+// The lab: the same seed gives the same night, the rules' checkers find what is planted, figures say what
+// they say, a sweep that is cut short goes on, load tells of stalls. No socket but loopback's.
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -102,11 +102,12 @@
 
 class Checked {
  public:
-  Checked() : rules([] {
-    Rules::Limits limits;
-    limits.unsafe = {false, true};
-    return limits;
-  }()) {}
+  Checked()
+      : rules([] {
+          Rules::Limits limits;
+          limits.unsafe = {false, true};
+          return limits;
+        }()) {}
   Happening& Say(Happening::Kind kind, double ms) {
     Flush();
     next.emplace();
@@ -133,10 +134,11 @@
 using Kind = Happening::Kind;
 
 TEST(Rules, AnUnsafeRequestGoesAgainOnlyWhenItIsKnownNotToHaveRun) {
-  for (const auto& [outcome, broken] : std::map<kestrellb::Outcome, std::size_t>{{kestrellb::Outcome::kFull, 0},
-                                                                                 {kestrellb::Outcome::kConnectFailed, 0},
-                                                                                 {kestrellb::Outcome::kTimeout, 1},
-                                                                                 {kestrellb::Outcome::kReset, 1}}) {
+  for (const auto& [outcome, broken] :
+       std::map<kestrellb::Outcome, std::size_t>{{kestrellb::Outcome::kFull, 0},
+                                                 {kestrellb::Outcome::kConnectFailed, 0},
+                                                 {kestrellb::Outcome::kTimeout, 1},
+                                                 {kestrellb::Outcome::kReset, 1}}) {
     Checked c;
     c.Say(Kind::kTaken, 0);
     c.Say(Kind::kSent, 1);
@@ -264,7 +266,8 @@
       {head + "[load]\nuse = \"much\"\n" + cls, "[load] use: give a number"},
       {head + cls + "[[fault]]\nkind = \"rain\"\n", "'rain' is none; give one of cut-zone"},
       {head + cls + "[[fault]]\nkind = \"cut-zone\"\nzone = \"moon\"\n", "'moon' is none of [servers] zones"},
-      {head + "[[class]]\nname = \"p\"\neffect = \"safe\"\naim_ms = 900\ndeadline_ms = 800\n", "no less than aim_ms"},
+      {head + "[[class]]\nname = \"p\"\neffect = \"safe\"\naim_ms = 900\ndeadline_ms = 800\n",
+       "no less than aim_ms"},
       {head + "x = \n", "x.toml:2"},
   };
   for (const auto& [text, what] : faults) {
@@ -340,7 +343,8 @@
   std::vector<char*> argv;
   for (std::string& word : command) argv.push_back(word.data());
   argv.push_back(nullptr);
-  if (std::freopen(out.c_str(), "w", stdout) == nullptr || std::freopen(out.c_str(), "a", stderr) == nullptr) ::_exit(126);
+  if (std::freopen(out.c_str(), "w", stdout) == nullptr || std::freopen(out.c_str(), "a", stderr) == nullptr)
+    ::_exit(126);
   ::execv(argv[0], argv.data());
   ::_exit(127);
 }
@@ -358,8 +362,13 @@
 }
 
 std::vector<std::string> SweepOf(const std::string& db) {
-  return {"sweep", PathOf("calm"), "--set", "length_s=6", "--set", "fleet.sidecars=8", "--vary", "load.use=0.3,0.6",
-          "--seeds", "1..12", "--jobs", "2", "--db", db};
+  return {"sweep",   PathOf("calm"),
+          "--set",   "length_s=6",
+          "--set",   "fleet.sidecars=8",
+          "--vary",  "load.use=0.3,0.6",
+          "--seeds", "1..12",
+          "--jobs",  "2",
+          "--db",    db};
 }
 
 TEST(Program, ASweepKilledHalfwayGoesOnToTheSameTable) {
@@ -400,7 +409,9 @@
       results.Keep(of_seed, "x", "y", ToJson(played, seed, outcome, world.figures(), false));
     }
   }
-  ASSERT_EQ(CodeOf(StartLab({"compare", "a", "b", "--db", db, "--report", folder.File("page.html")}, folder.File("out"))), 0);
+  ASSERT_EQ(CodeOf(StartLab({"compare", "a", "b", "--db", db, "--report", folder.File("page.html")},
+                            folder.File("out"))),
+            0);
   EXPECT_NE(ReadAll(folder.File("out")).find("attempts_a_try"), std::string::npos);
   EXPECT_NE(ReadAll(folder.File("page.html")).find("<svg"), std::string::npos);
   EXPECT_EQ(CodeOf(StartLab({"compare", "a", "nobody", "--db", db}, folder.File("out"))), 1);
@@ -414,7 +425,8 @@
     words.insert(words.end(), small.begin(), small.end());
     return words;
   };
-  ASSERT_EQ(CodeOf(StartLab(with({"run", PathOf("calm"), "--report", folder.File("page.html")}), out)), 0) << ReadAll(out);
+  ASSERT_EQ(CodeOf(StartLab(with({"run", PathOf("calm"), "--report", folder.File("page.html")}), out)), 0)
+      << ReadAll(out);
   const std::string text = ReadAll(out);
   const auto at = text.find("digest ") + 7;
   const std::string digest = text.substr(at, 16);
@@ -424,14 +436,15 @@
   EXPECT_NE(ReadAll(out).find("not held: rule twice"), std::string::npos);
   EXPECT_EQ(CodeOf(StartLab({"run", PathOf("calm"), "--set", "fleet.sidecars=none"}, out)), 1);
   const std::string page = ReadAll(folder.File("page.html"));
-  for (const char* part : {"<figcaption>Room", "<table>", "held: the four rules"}) EXPECT_NE(page.find(part), std::string::npos) << part;
+  for (const char* part : {"<figcaption>Room", "<table>", "held: the four rules"})
+    EXPECT_NE(page.find(part), std::string::npos) << part;
   EXPECT_EQ(page.find("http://"), std::string::npos) << "a page fetches nothing";
 }
 
 // ---- Load ----
 
-// A server that stalls for half a second: of requests due every 5 ms, some hundred waited for it. A client that sends the
-// next one only when the last is answered sees one slow answer.
+// A server that stalls for half a second: of requests due every 5 ms, some hundred waited for it. A client
+// that sends the next one only when the last is answered sees one slow answer.
 TEST(Load, TellsAStallAsAllThatWaitedForIt) {
   std::atomic<bool> stalled{false};
   const auto begin = std::chrono::steady_clock::now();
--- a/tests/sqlite_store_test.cpp
+++ b/tests/sqlite_store_test.cpp
@@ -1,4 +1,5 @@
-// What an agent keeps on disk, and a disk that is full, a file that is cut short, damaged, of another version or held.
+// What an agent keeps on disk, and a disk that is full, a file that is cut short, damaged, of another version
+// or held.
 #include "fleet/sqlite_store.h"
 
 #include <signal.h>
@@ -67,7 +68,8 @@
 void Fill(SqliteStore& store) {
   const Plan plan = PlanOf("c1");
   ASSERT_TRUE(store.SaveLease(LeaseOf(3, "c1"), &plan, {1, "c1", "opened"}));
-  for (int i = 0; i < 60; ++i) ASSERT_TRUE(store.SaveRecord("i" + std::to_string(i), RecordOf(i), {2, "c1", "taken"}));
+  for (int i = 0; i < 60; ++i)
+    ASSERT_TRUE(store.SaveRecord("i" + std::to_string(i), RecordOf(i), {2, "c1", "taken"}));
 }
 
 TEST_F(StoreTest, GivesBackWhatWasKept) {
@@ -100,8 +102,8 @@
   EXPECT_FALSE(again.stored().plans.contains("c0"));
 }
 
-// In a process of its own, whose files may not grow further: the system refuses as a full disk does. It exits with how
-// many saves were refused; what it says it kept, and nothing else, must be there afterwards.
+// In a process of its own, whose files may not grow further: the system refuses as a full disk does. It exits
+// with how many saves were refused; what it says it kept, and nothing else, must be there afterwards.
 TEST_F(StoreTest, AFullDiskRefusesAWholeStepAndTakesTheNextOnceThereIsRoom) {
   {
     SqliteStore store(path());
@@ -116,8 +118,8 @@
     struct rlimit full = none;
     full.rlim_cur = 4096;  // less than the file has: nothing can be written behind its first page
     ::setrlimit(RLIMIT_FSIZE, &full);
-    const bool refused = !store.SaveRecord("i3", RecordOf(100), {9, "c1", "lost"}) && !store.fault().empty() &&
-                         !store.SaveLease(LeaseOf(9, "c1"), nullptr, {});
+    const bool refused = !store.SaveRecord("i3", RecordOf(100), {9, "c1", "lost"}) &&
+                         !store.fault().empty() && !store.SaveLease(LeaseOf(9, "c1"), nullptr, {});
     ::setrlimit(RLIMIT_FSIZE, &none);
     const bool again = store.SaveRecord("i4", RecordOf(101), {9, "c1", "kept"}) && store.fault().empty();
     ::_exit(refused && again ? 0 : 1);
--- a/tests/standins/traffic.cpp
+++ b/tests/standins/traffic.cpp
@@ -70,7 +70,9 @@
       if (!response) {
         end = kept ? End::kCrossed : End::kLost;
       } else {
-        end = response->result_int() == 200 ? End::kServed : response->result_int() == 503 ? End::kRefused : End::kFailed;
+        end = response->result_int() == 200   ? End::kServed
+              : response->result_int() == 503 ? End::kRefused
+                                              : End::kFailed;
       }
       if (!response || !response->keep_alive()) error = boost::asio::error::eof;
     }
--- a/tests/standins/traffic.h
+++ b/tests/standins/traffic.h
@@ -1,5 +1,6 @@
-// Light traffic through many sidecars, as their applications send it: one thread a sidecar, its connection kept while
-// it stays open. It keeps account of how every request ended, to be compared with what ran at the upstreams.
+// Light traffic through many sidecars, as their applications send it: one thread a sidecar, its connection
+// kept while it stays open. It keeps account of how every request ended, to be compared with what ran at the
+// upstreams.
 #pragma once
 
 #include <atomic>
