Attempts that have not begun end with their request's final answer, or its client

It is the copy that tries out an upstream: the module calls no trial off (Balancer::Impl::Cancel, `trial`), since its outcome is what it is for, and HttpTransport's connect handler began whatever it carried. Where the settings allow no cancelling it is every attempt that was out, also after its client left. Ruled out: answers that are passed on as they come, and slow connections of clients; none of the traced requests had any.

Mend: Transport::Abandon. The dispatcher tells it of all that is out once the request has its final answer or its client left, behind the module's own word. HTTP: what connects is never written, its connection is pooled or tells how it failed; what is half written is closed. DNS over TCP alike, and the emulator.

It is a reset now where something is undelivered (SIOCOUTQ).

--- a/core/dispatcher.cpp
+++ b/core/dispatcher.cpp
@@ -136,6 +136,7 @@
   it->second.streaming = false;
   Count(it->second, Tally::Outcome::kLeft);
   Deliver(kestrellb::RequestGone{id});
+  AbandonUnsent(id);
   ForgetIfDone(id);
 }
 
@@ -156,6 +157,7 @@
   final.attempts = pending.attempts.size();
   on_final(std::move(final));
   Deliver(kestrellb::AnswerStarted{id, attempt});
+  AbandonUnsent(id);
 }
 
 void Dispatcher::Ended(RequestId id, AttemptId attempt, ExchangeResult result) {
@@ -182,6 +184,7 @@
     on_final(std::move(final));  // may take the next request in: `pending` is not touched any more
   }
   Deliver(AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load});
+  if (served) AbandonUnsent(id);
   ForgetIfDone(id);
 }
 
@@ -199,9 +202,19 @@
                                    : Tally::Outcome::kFailed);
     on_final(std::move(final));
   }
+  AbandonUnsent(id);
   ForgetIfDone(id);
 }
 
+// Behind the module's own word: what it calls off ends by that. Left are attempts that it keeps for what their outcome
+// tells (trials), and all of them where the settings allow no cancelling.
+void Dispatcher::AbandonUnsent(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.out == 0) return;
+  const std::vector<ExchangeId> attempts = it->second.attempts;  // an end may forget the request
+  for (const ExchangeId attempt : attempts) transport_.Abandon(attempt);
+}
+
 // While events wait their attempts are still needed: their turn comes with the last of them.
 void Dispatcher::ForgetIfDone(RequestId id) {
   const auto it = requests_.find(id);
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -102,6 +102,8 @@
   void Started(kestrellb::RequestId id, kestrellb::AttemptId attempt, std::unique_ptr<Reply> reply);
   void Ended(kestrellb::RequestId id, kestrellb::AttemptId attempt, ExchangeResult result);
   void End(kestrellb::RequestId id, Final final);
+  // Nobody waits for its answer any more: what has not begun upstream must not begin.
+  void AbandonUnsent(kestrellb::RequestId id);
   void ForgetIfDone(kestrellb::RequestId id);
   void Owe(Pending& pending) {
     pending.counted = true;
--- a/core/exchange.h
+++ b/core/exchange.h
@@ -97,6 +97,10 @@
   virtual void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) = 0;
   // Stops waiting; the exchange still ends once. Unknown ids are ignored.
   virtual void Cancel(ExchangeId id) = 0;
+  // Its request has its final answer, or its client left: what is not wholly written by now never will be, and the
+  // exchange ends as not sent or as cancelled. What is written goes on. A connection that is coming up may be waited
+  // for, since how that ends tells of the upstream. Unknown ids are ignored.
+  virtual void Abandon(ExchangeId id) = 0;
   virtual void CloseIdle(const std::string& uid) = 0;
 };
 
--- a/dns/transport.h
+++ b/dns/transport.h
@@ -45,6 +45,7 @@
             ExchangeHooks hooks) override;
   void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override;
   void Cancel(ExchangeId id) override;
+  void Abandon(ExchangeId id) override;
   void CloseIdle(const std::string& uid) override;
 
  private:
--- a/http/transport.cpp
+++ b/http/transport.cpp
@@ -2,9 +2,13 @@
 
 #include "http/body_writer.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/socket_base.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -121,7 +125,7 @@
              ExchangeHooks hooks) {
     id_ = id;
     message_ = std::move(message);
-    written_ = started_ = false;
+    written_ = started_ = abandoned_ = false;
     hooks_ = std::move(hooks);
     sent_ = Now();
     timeout_ = timeout;
@@ -139,6 +143,7 @@
       if (self->closed_) return;
       if (error) return self->End(Cause::kBroken);
       self->connected_ = true;
+      if (self->abandoned_) return self->Unused();
       self->phase_ = Phase::kWriting;
       self->Begin();
     });
@@ -151,6 +156,7 @@
   // has taken, but whose handler has not run, counts as written, and unsafe work hangs on that.
   void End(Cause cause) {
     if (phase_ == Phase::kIdle || ending_) return;
+    if (connected_) DiscardUnsent();
     Close();
     if (write_pending_) {
       ending_ = cause;
@@ -159,6 +165,12 @@
     Finish(cause);
   }
 
+  // Its request is over. A connection that comes up late must not carry it any more: it would run after its answer.
+  void Abandon() {
+    if (phase_ == Phase::kConnecting) abandoned_ = true;
+    if (phase_ == Phase::kWriting && !written_) End(Cause::kCancelled);
+  }
+
   void Close() {
     if (closed_) return;
     closed_ = true;
@@ -197,6 +209,15 @@
     Write();
   }
 
+  // A plain close leaves what the system has taken to be delivered, however late: the request would begin long after
+  // it was given up. A reset takes that back.
+  void DiscardUnsent() {
+    int unsent = 0;
+    if (closed_ || ::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent) != 0 || unsent <= 0) return;
+    error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
+
   // Also makes void what has fired and not been handled.
   void DisarmTimer() { timer_.expires_at(std::chrono::steady_clock::time_point::max()); }
 
@@ -404,6 +425,21 @@
     if (stream) stream->End(Stream::State::kWhole);  // last: whoever ends it is not asked about the request again
   }
 
+  // It came up for nothing, and waits for the next request.
+  void Unused() {
+    timer_.cancel();
+    LeaveBody();
+    phase_ = Phase::kIdle;
+    const auto on_end = std::exchange(hooks_.on_end, nullptr);
+    const auto self = shared_from_this();
+    owner_.exchanges_.erase(id_);
+    idle_since_ = Now();
+    Clear();
+    Watch();
+    owner_.Release(self);
+    on_end({Outcome::kNotSent, idle_since_ - sent_, {}, nullptr});
+  }
+
   // Another attempt may take the request's body from here on.
   void LeaveBody() {
     if (!pumping_) writer_.reset();  // else it is what called, and this connection is closed
@@ -466,6 +502,7 @@
   std::shared_ptr<Stream> answer_;    // that is passed on as it comes
   bool arriving_ = false;             // the message's body still came when it was begun, and is not written
   bool written_ = false;              // its last byte
+  bool abandoned_ = false;            // its request is over: it is not written any more
   bool started_ = false;              // the answer is passed on as it comes
   bool pumping_ = false;
   bool waits_to_write_ = false;
@@ -562,6 +599,13 @@
   connection->End(Connection::Cause::kCancelled);
 }
 
+void HttpTransport::Abandon(ExchangeId id) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end()) return;
+  const auto connection = it->second;
+  connection->Abandon();
+}
+
 void HttpTransport::CloseIdle(const std::string& uid) {
   const auto it = pools_.find(uid);
   if (it == pools_.end()) return;
--- a/http/transport.h
+++ b/http/transport.h
@@ -33,6 +33,8 @@
   void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override;
   // The connection is closed.
   void Cancel(ExchangeId id) override;
+  // A connection that is coming up is waited for and pooled.
+  void Abandon(ExchangeId id) override;
   void CloseIdle(const std::string& uid) override;
 
   struct Counts {
--- a/lab/carrier.cpp
+++ b/lab/carrier.cpp
@@ -64,6 +64,7 @@
 }
 
 void Carrier::Write(const CallPtr& call) {
+  if (call->abandoned) return End(call, Outcome::kNotSent, true);
   call->connected = true;
   Happening h;
   h.kind = Happening::Kind::kSent;
@@ -174,4 +175,9 @@
   });
 }
 
+void Carrier::Abandon(ExchangeId id) {
+  const auto it = calls_.find(id);
+  if (it != calls_.end()) it->second->abandoned = true;
+}
+
 }  // namespace mothrack::lab
--- a/lab/carrier.h
+++ b/lab/carrier.h
@@ -46,6 +46,7 @@
             ExchangeHooks hooks) override;
   void Probe(ExchangeId id, const std::string& uid, OnEnd on_end) override;
   void Cancel(ExchangeId id) override;
+  void Abandon(ExchangeId id) override;
   void CloseIdle(const std::string& uid) override { At(uid).idle.clear(); }
 
   // The server's process has ended, and its sockets said so.
@@ -65,6 +66,7 @@
     TimePoint began;
     std::uint64_t job = 0;
     bool connected = false;  // its request is being written, or was
+    bool abandoned = false;
     bool ended = false;
   };
   using CallPtr = std::shared_ptr<Call>;
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -60,6 +60,7 @@
     inner_.Probe(id, uid, std::move(on_end));
   }
   void Cancel(ExchangeId id) override { inner_.Cancel(id); }
+  void Abandon(ExchangeId id) override { inner_.Abandon(id); }
   void CloseIdle(const std::string& uid) override { inner_.CloseIdle(uid); }
 
  private:
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,10 @@
   void Cancel(ExchangeId id) override {
     if (out.contains(id)) End(id, Outcome::kCancelled);
   }
+  // Only what has not begun: `unsent`.
+  void Abandon(ExchangeId id) override {
+    if (out.contains(id) && unsent.contains(id)) End(id, Outcome::kNotSent);
+  }
   void CloseIdle(const std::string&) override {}
 
   void End(ExchangeId id, Outcome outcome, const std::string& reply = "") {
@@ -70,6 +75,7 @@
 
   std::map<std::string, Location> locations;
   std::map<ExchangeId, Out> out;
+  std::set<ExchangeId> unsent;
   std::optional<Outcome> at_once;
   int sent = 0;
 };
@@ -137,6 +143,37 @@
   EXPECT_EQ(dispatcher.open(), 0U);
 }
 
+// Its two copies may be out at once, and the one that has not begun when the request is over must never begin.
+TEST_F(DispatcherTest, WhatHasNotBegunEndsWithItsRequest) {
+  kestrellb::Settings settings = TestSettings();
+  settings.limits.cancel = false;  // so that the module calls nothing off
+  const auto over = [&](const char* how, auto end) {
+    SCOPED_TRACE(how);
+    ScriptedTransport carrier;
+    Dispatcher owner(io, settings, 1, carrier, log);
+    owner.Apply(Members({"u1", "u2"}, kestrellb::MembershipUpdate::Kind::kRestored));
+    int told = 0;
+    NewRequest request;
+    request.request_class = kestrellb::ClassId{0};
+    request.deadline = Now() + milliseconds(5);
+    request.message = std::make_shared<TextMessage>("m");
+    request.on_final = [&](Final) { ++told; };
+    const auto id = owner.Take(std::move(request));
+    carrier.unsent.insert(carrier.Only());
+    end(owner, carrier, *id);
+    EXPECT_TRUE(carrier.out.empty());
+    EXPECT_EQ(owner.open(), 0U);
+    return told;
+  };
+  EXPECT_EQ(over("its client left", [](Dispatcher& owner, ScriptedTransport&, kestrellb::RequestId id) {
+              owner.Gone(id);
+            }), 0);
+  EXPECT_EQ(over("its time is over", [this](Dispatcher&, ScriptedTransport& carrier, kestrellb::RequestId) {
+              while (!carrier.out.empty() && io.run_one() > 0) {
+              }
+            }), 1);
+}
+
 TEST_F(DispatcherTest, TransportMayEndAttemptsBeforeSendReturns) {
   transport.at_once = Outcome::kConnectFailed;
   ASSERT_TRUE(Take(1));
