Acceptor: closing waits for those that no descriptor or room was left for

Reason: Close() accepted until the first error and then closed the socket. Seen at a real limit of descriptors (setrlimit): accept gives EMFILE, the socket is closed, and the clients in the backlog, whose connections the system had taken for the sidecar, are reset. It also admitted beyond the owner's room. Wrong was the loop's condition in Acceptor::Close(): it took any error but one client's own for an empty backlog. Ruled out: one client's own errors (ECONNABORTED, EPROTO), which the loop passed over already.

Change: Close() lets Accept() take what waits, which makes room, pauses and counts errors as ever, then looks once more.

--- a/core/acceptor.cpp
+++ b/core/acceptor.cpp
@@ -168,14 +168,14 @@
   if (!ignored) ::close(handle);
 }
 
-void Acceptor::Close() {
-  error_code error;
-  for (int gone = 0; !error || (IsOfOneClient(error) && ++gone < kMostGone);) {
-    tcp::socket socket(io_);
-    socket_.accept(socket, error);
-    if (!error) owner_.Admit(std::move(socket));
-  }
-  socket_.close(error);
+// Closing over clients that wait resets them. An error alone says nothing of whether somebody waits: it may be
+// of one client, or of descriptors that ran out.
+bool Acceptor::Close() {
+  if (ClientWaits()) Accept();
+  if (ClientWaits()) return false;
+  error_code ignored;
+  socket_.close(ignored);
+  return true;
 }
 
 }  // namespace mothrack
--- a/core/acceptor.h
+++ b/core/acceptor.h
@@ -48,8 +48,9 @@
 
   Endpoint local() const { return socket_.local_endpoint(); }
   bool is_open() const { return socket_.is_open(); }
-  // What waits in the backlog counts as taken: it is admitted before the socket closes.
-  void Close();
+  // What waits in the backlog counts as taken: it is admitted before the socket closes. False where there was
+  // no room for all of it: it listens on, and is to be told to close again.
+  bool Close();
   // Leaves what comes to another process that has the same socket; accepts again.
   void Pause();
   void Resume();
--- a/tests/acceptor_test.cpp
+++ b/tests/acceptor_test.cpp
@@ -3,6 +3,7 @@
 #include <dlfcn.h>
 #include <poll.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,6 +28,7 @@
   int fails = 0;  // of the next calls of accept
   int error = 0;  // with this
   bool takes = false;  // and the client at the head of the queue is gone then
+  rlim_t descriptors = RLIM_INFINITY;  // the limit while it accepts: the sanitizers need some at other times
   std::function<void()> after_refusal;  // once, when accept has found nobody
   int lost_wakes = 0;                   // of the next that tell of a client
   int blocked = 0;                      // calls that would have waited without an end
@@ -48,7 +50,19 @@
     errno = system_.error;
     return -1;
   }
+  rlimit usual{};
+  const bool limited = fd == system_.listening && system_.descriptors != RLIM_INFINITY;
+  if (limited) {
+    ::getrlimit(RLIMIT_NOFILE, &usual);
+    const rlimit few{system_.descriptors, usual.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &few);
+  }
   const int taken = next(fd, from, size);
+  if (limited) {
+    const int error = errno;
+    ::setrlimit(RLIMIT_NOFILE, &usual);
+    errno = error;
+  }
   if (fd == system_.listening && taken < 0 && system_.after_refusal) {
     const int error = errno;
     std::exchange(system_.after_refusal, nullptr)();
@@ -104,6 +118,7 @@
     system_.listening = -1;
     system_.fails = system_.lost_wakes = 0;
     system_.takes = false;
+    system_.descriptors = RLIM_INFINITY;
     system_.after_refusal = nullptr;
     system_.blocked = 0;
     ListenOn where(Endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
@@ -296,9 +311,59 @@
   system_.fails = 1;
   system_.error = ECONNABORTED;
   system_.takes = true;
-  acceptor->Close();
+  EXPECT_TRUE(acceptor->Close());
   EXPECT_EQ(admitted.size(), 2U);
   EXPECT_EQ(system_.blocked, 0);
+  EXPECT_FALSE(acceptor->is_open());
+}
+
+// Reads nothing, and the connection stands.
+bool IsOpen(tcp::socket& client) {
+  char byte = 0;
+  boost::system::error_code error;
+  client.non_blocking(true);
+  client.read_some(boost::asio::buffer(&byte, 1), error);
+  return error == boost::asio::error::would_block;
+}
+
+// The process has as many descriptors as it may: those that wait are kept waiting until others have ended.
+TEST_F(AcceptorTest, WhoWaitsWhenItClosesWithoutADescriptorIsNotReset) {
+  Settle();
+  Connect();
+  ASSERT_TRUE(Admits(1));
+  Connect();
+  Connect();
+  system_.descriptors = 3;  // the standard streams have these
+  EXPECT_FALSE(acceptor->Close());
+  Settle();
+  EXPECT_FALSE(acceptor->Close());
+  EXPECT_TRUE(acceptor->is_open());
+  EXPECT_EQ(admitted.size(), 1U);
+  for (tcp::socket& client : clients) EXPECT_TRUE(IsOpen(client));
+  // There are some again.
+  system_.descriptors = RLIM_INFINITY;
+  EXPECT_TRUE(acceptor->Close());
+  EXPECT_EQ(admitted.size(), 3U);
+  for (tcp::socket& client : clients) EXPECT_TRUE(IsOpen(client));
+}
+
+TEST_F(AcceptorTest, WhoWaitsWhenItClosesWithoutRoomIsAdmittedOnceThereIsSome) {
+  Settle();
+  Connect();
+  ASSERT_TRUE(Admits(1));
+  Connect();
+  Connect();
+  room = 0;
+  EXPECT_FALSE(acceptor->Close());
+  EXPECT_EQ(admitted.size(), 1U);
+  room = 1;
+  EXPECT_FALSE(acceptor->Close());
+  EXPECT_EQ(admitted.size(), 2U);
+  EXPECT_TRUE(IsOpen(clients[2]));
+  room = 1;
+  EXPECT_TRUE(acceptor->Close());
+  EXPECT_EQ(admitted.size(), 3U);
+  EXPECT_TRUE(IsOpen(clients[2]));
 }
 
 TEST_F(AcceptorTest, GoneItIsNotTouchedByWhatWasPutOff) {
