Listener: half-close idle clients first; find those that left behind unread bytes

Change: - Idle ends are half-closed; nothing is read from then on, so that a request which crossed was not read and its client sends it again. Closed when the client closes, also behind unread bytes, or after kLinger. Reading on and dropping was weighed: it is as clean for the client, but then the request was read. An eviction needs the descriptor at once and closes; nothing is lost, as whoever sends a request has its last answer whole. - A lingering connection drops what waits before it is closed. So is each request's client before the request is handed on. More than 32 KiB ahead of an answer is dropped, to 256 KiB, and the connection closes after the answer: else a close behind it is not seen, nor the followers spared. - Without room for clients in the backlog a planned stop asks them in until others have had their 2.5 s. - Names: Drop() of a connection is Orphan(), lingered_ is dropped_.

Not seen still: a close that has not reached this machine, as its client holds more bytes ahead of it than the system takes. It cannot be.

--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -2,6 +2,8 @@
 
 #include "http/body_writer.h"
 
+#include <poll.h>
+
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -28,6 +30,9 @@
 // While requests pass, that queue is looked at this often: a system call in 20 ms is nothing beside them.
 constexpr Duration kLook = milliseconds(20);
 constexpr auto kDrainSweep = milliseconds(10);
+// A client that has left is found this soon where nothing is read from it: an attempt that begins 0.1 s after
+// it left is one too many.
+constexpr Duration kLeaverSweep = milliseconds(25);
 // A connection has so long, from its start, for its first whole request; a later request from its first byte
 // on; an answer to be taken. Not renewed by what trickles: the deployment wants silent and stalled clients
 // gone within 3 s of connecting.
@@ -36,10 +41,11 @@
 // request by then, goes before those.
 constexpr Duration kSilent = seconds(1);
 constexpr Duration kSlow = seconds(1);
-// After a last answer the client's close is waited for: a reset could overtake the answer. Short, as a
-// planned stop waits for it too.
+// After a half-close the client's is waited for: a reset could overtake the answer. Short, as a planned stop
+// waits for it too.
 constexpr Duration kLinger = milliseconds(250);
 // Whoever sends on for long after the last answer gets the reset: reading megabytes to the end is no service.
+// Nor is more than this read behind a request that is being served.
 constexpr std::size_t kMostLinger = 256 * 1024;
 constexpr std::size_t kReadSize = 8192;
 // A body may come as slowly as this, bytes a second, and an answer be taken with pauses as long: usual clients on
@@ -61,7 +67,12 @@
 }  // namespace
 
 // One client connection. A read is always pending while there is room, also while a request is being served:
-// that is how a client that leaves is noticed.
+// that is how a client that leaves is noticed. Where there is none, a look every kLeaverSweep tells.
+//
+// kLingering: after a last answer, half-closed; what comes is read and dropped, since a close over unread
+// bytes resets the connection and may take the answer's end along. kHalfClosed: ended between requests;
+// nothing is read any more, so that a request which crossed the half-close is one that was not read, and its
+// client sends it on another connection.
 class Listener::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Listener& owner, tcp::socket socket)
@@ -89,7 +100,7 @@
   }
 
   // The listener is going: handlers that are still to come must not touch it.
-  void Drop() {
+  void Orphan() {
     owner_ = nullptr;
     taken_ = {};
     Close();
@@ -99,18 +110,46 @@
 
   bool Idle() const { return state_ == State::kReading && !started_; }
 
-  // Nothing of a further request has come, not even into the system's buffer.
-  bool SparesClose() {
-    if (!Idle()) return false;
+  // More of a request has come, into the system's buffer, than was read. Closing would lose it.
+  bool RequestWaits() {
+    if (state_ != State::kReading) return false;
     error_code error;
-    return socket_.available(error) == 0 || error;
+    return socket_.available(error) > 0 && !error;
+  }
+
+  // Ends an idle connection of which nobody needs the descriptor at once. What arrives between the last look
+  // and this finds no reset: its client sees the end of the connection, closes its own, and only then does this
+  // one.
+  void HalfClose() {
+    state_ = State::kHalfClosed;
+    since_ = Now();
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  // Closes without awaiting the client's close any longer.
+  void CloseNow() {
+    if (state_ == State::kLingering) DropUnread();
+    Close();
+  }
+
+  // Nothing is read, so that nothing else tells when the client leaves.
+  bool ReadsNothing() const {
+    if (closed_ || state_ == State::kReading) return false;
+    return state_ == State::kHalfClosed || !reading_;
+  }
+
+  // The client has closed its end, or all of the connection; also where bytes wait ahead of that.
+  bool ClientLeft() {
+    pollfd client{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&client, 1, 0) == 1 && (client.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
   }
 
   // Which goes first when descriptors run out, the lowest number first; nothing where it must stay. Usual
   // clients' connections outlast those of clients that say nothing.
   std::optional<int> Spare(TimePoint now) const {
     const Duration age = now - since_;
-    if (state_ == State::kLingering) return 0;
+    if (state_ == State::kLingering || state_ == State::kHalfClosed) return 0;
     if (state_ != State::kReading) return std::nullopt;
     // A kept connection is closed at no cost: its client asks on another. One that has not asked yet is about
     // to.
@@ -122,19 +161,23 @@
   // Ends what has had its time.
   void CloseIfOverdue(TimePoint now) {
     if (closed_ || (state_ == State::kServing && !upload_) || now - since_ <= Patience(now)) return;
-    if (state_ != State::kReading) return Close();
+    if (state_ != State::kReading) return CloseNow();
+    if (!started_ && !unused_) return;
+    // It may be the sidecar that had no time: what has come is read first.
+    if (RequestWaits() && !std::exchange(excused_, true)) return;
     if (started_) return Reject(http::status::request_timeout, "request did not come in time");
-    if (unused_) Close();
+    Close();
   }
 
   bool Fresh(TimePoint now) const { return unused_ && now - since_ < kFreshConnection; }
 
  private:
-  enum class State { kReading, kServing, kWriting, kLingering };
+  enum class State { kReading, kServing, kWriting, kLingering, kHalfClosed };
 
   // Counted from since_ on.
   Duration Patience(TimePoint now) const {
-    if (state_ == State::kLingering) return cut_upload_ ? kStalled : kLinger;
+    if (state_ == State::kLingering && cut_upload_) return kStalled;
+    if (state_ == State::kLingering || state_ == State::kHalfClosed) return kLinger;
     if (state_ == State::kWriting) return writer_ ? kLongestPause : kStalled;
     const Duration blocked = blocked_ + (blocked_since_ ? now - *blocked_since_ : Duration::zero());
     const auto came = static_cast<std::int64_t>(came_);
@@ -151,6 +194,7 @@
     blocked_since_.reset();
     started_ = false;
     head_checked_ = false;
+    excused_ = false;
     scanned_ = 0;
     since_ = Now();
     if (owner_ != nullptr) owner_->Heard(since_);
@@ -159,10 +203,12 @@
 
   // Waits without a buffer: hundreds of connections may be idle.
   void Read() {
-    if (reading_ || closed_ || buffer_.size() == buffer_.max_size()) return;
+    if (reading_ || closed_) return;
     // Its upstream takes the body more slowly than it comes.
-    if (upload_ && upload_->Room() == 0) {
-      if (!blocked_since_) blocked_since_ = Now();
+    const bool blocked = upload_ && upload_->Room() == 0;
+    if (blocked && !blocked_since_) blocked_since_ = Now();
+    if (blocked || buffer_.size() == buffer_.max_size() || (flooded_ && dropped_ > kMostLinger)) {
+      if (owner_ != nullptr) owner_->LookForLeavers();
       return;
     }
     if (blocked_since_) blocked_ += Now() - *std::exchange(blocked_since_, std::nullopt);
@@ -171,10 +217,30 @@
       self->reading_ = false;
       if (self->closed_ || self->owner_ == nullptr) return;
       if (error) return self->Close();
+      if (self->state_ == State::kHalfClosed) return self->AwaitClose();
       self->Receive();
     });
   }
 
+  // Of a half-closed connection something is to be read. If it is the end, all is done; else the sweep looks
+  // for that behind what waits.
+  void AwaitClose() {
+    char byte = 0;
+    error_code error;
+    socket_.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) return Read();
+    if (error) Close();
+  }
+
+  // What waits unread would make a close a reset.
+  void DropUnread() {
+    char bytes[kReadSize];
+    error_code error;
+    while (!error && dropped_ <= kMostLinger) {
+      dropped_ += socket_.read_some(boost::asio::buffer(bytes), error);
+    }
+  }
+
   void Receive() {
     const std::size_t room = std::min(buffer_.max_size() - buffer_.size(), upload_ ? kMostRead : kReadSize);
     error_code error;
@@ -187,18 +253,28 @@
 
   void Progress() {
     if (parsing_ || closed_) return;
-    if (state_ == State::kLingering) {
-      lingered_ += buffer_.size();
+    if (state_ == State::kLingering || flooded_) {
       if (cut_upload_ && buffer_.size() > 0) since_ = Now();
-      buffer_.consume(buffer_.size());
-      if (lingered_ > (cut_upload_ ? kMostBody : kMostLinger)) return Close();
+      Drop(buffer_.size());
+      if (state_ == State::kLingering && dropped_ > (cut_upload_ ? kMostBody : kMostLinger)) return Close();
     }
     parsing_ = true;
     Parse();
     parsing_ = false;
+    // Nobody sends so much ahead who waits for answers. Reading on tells whether it has left already.
+    if (state_ != State::kReading && !upload_ && buffer_.size() == kMostRead) {
+      flooded_ = close_after_ = true;
+      Drop(buffer_.size());
+    }
     Read();
   }
 
+  // Nothing of these is read as a request.
+  void Drop(std::size_t size) {
+    dropped_ += size;
+    buffer_.consume(size);
+  }
+
   void Parse() {
     while ((state_ == State::kReading || upload_) && buffer_.size() > 0 && !closed_) {
       if (upload_) {
@@ -318,6 +394,8 @@
       return Answer(draining ? Plain(http::status::service_unavailable, "draining")
                              : Plain(http::status::ok, "up"));
     }
+    // It may have waited here for longer than its client did.
+    if (ClientLeft()) return Close();
     auto reply = [self = shared_from_this()](HttpResponse response, ComingBody answer) {
       if (!answer) self->taken_ = {};
       if (!self->closed_) return self->Answer(std::move(response), std::move(answer));
@@ -412,6 +490,7 @@
     if (close_after_) {
       state_ = State::kLingering;
       since_ = Now();
+      dropped_ = 0;
       error_code ignored;
       socket_.shutdown(tcp::socket::shutdown_send, ignored);
     } else {
@@ -435,11 +514,13 @@
   unsigned version_ = 11;
   bool started_ = false;  // some of a request has come
   bool unused_ = true;    // nothing has ever come
+  bool excused_ = false;  // it was overdue once, and more had come
   bool head_checked_ = false;
   std::size_t scanned_ = 0;   // of a head that is still to come whole
-  std::size_t lingered_ = 0;  // bytes read since the last answer
+  std::size_t dropped_ = 0;   // bytes read behind a flood's request, or since the last answer
   bool close_after_ = false;
   bool cut_upload_ = false;    // it was answered before its body had come
+  bool flooded_ = false;       // more came ahead of an answer than is kept: none of it is read as a request
   std::uint64_t came_ = 0;     // of the body
   Duration blocked_{};         // the time for which nothing was read since nobody took it
   std::optional<TimePoint> blocked_since_;
@@ -463,7 +544,7 @@
 }
 
 Listener::~Listener() {
-  for (const auto& connection : std::exchange(connections_, {})) connection->Drop();
+  for (const auto& connection : std::exchange(connections_, {})) connection->Orphan();
 }
 
 void Listener::Admit(tcp::socket socket) {
@@ -477,7 +558,9 @@
 
 bool Listener::MakeRoom() {
   const TimePoint now = Now();
-  // Those of which more has come than was read are no candidates; there are few.
+  // Those of which more has come than was read are no candidates; there are few. What still arrives between
+  // the look and the close gets a reset, which takes nothing along: whoever sends a request has its last answer
+  // whole.
   std::set<Connection*> busy;
   while (true) {
     std::shared_ptr<Connection> best;
@@ -489,11 +572,11 @@
       if (!best || rank < lowest) best = connection, lowest = rank;
     }
     if (!best) return false;
-    if (best->Idle() && !best->SparesClose()) {
+    if (best->RequestWaits()) {
       busy.insert(best.get());
       continue;
     }
-    best->Close();
+    best->CloseNow();
     return true;
   }
 }
@@ -518,15 +601,25 @@
 }
 
 void Listener::ScheduleSweep() {
-  sweep_.expires_after(resting() ? Duration(kDrainSweep) : sweep_every_);
+  Duration after = sweep_every_;
+  if (unread_) after = std::min(after, kLeaverSweep);
+  if (resting()) after = std::min<Duration>(after, kDrainSweep);
+  sweep_.expires_after(after);
   sweep_.async_wait([this](error_code error) {
-    if (error) return;
+    if (error || ended_) return;
     Sweep();
-    if (drained_ && !acceptor_.is_open() && connections_.empty()) return drained_();
+    if (drained_ && !acceptor_.is_open() && connections_.empty()) {
+      ended_ = true;  // a sweep that was due when another was asked for comes, too
+      return drained_();
+    }
     ScheduleSweep();
   });
 }
 
+void Listener::LookForLeavers() {
+  if (!std::exchange(unread_, true)) ScheduleSweep();
+}
+
 void Listener::Heard(TimePoint now) {
   if (now - looked_ < kLook) return;
   looked_ = now;
@@ -537,11 +630,22 @@
   const TimePoint now = Now();
   Heard(now);
   const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
+  unread_ = false;
   for (const auto& connection : all) {
-    if (resting() && !connection->Fresh(now) && connection->SparesClose()) connection->Close();
+    const bool rests = resting() && connection->Idle() && !connection->Fresh(now);
+    if (rests && !connection->RequestWaits()) connection->HalfClose();
     connection->CloseIfOverdue(now);
+    if (!connection->ReadsNothing()) continue;
+    if (connection->ClientLeft()) {
+      connection->Close();
+    } else {
+      LookForLeavers();
+    }
   }
-  if (drained_ && acceptor_.is_open() && now - drain_started_ > kAcceptWhileDraining) acceptor_.Close();
+  // Without room for those that wait they are asked in until the others have had their time.
+  const Duration drained = drained_ ? now - drain_started_ : Duration::zero();
+  if (drained <= kAcceptWhileDraining || !acceptor_.is_open() || acceptor_.Close()) return;
+  if (drained > kAcceptWhileDraining + kStalled) acceptor_.Release();
 }
 
 }  // namespace mothrack
--- a/http/listener.h
+++ b/http/listener.h
@@ -62,6 +62,8 @@
   void Sweep();
   // Something came from a client.
   void Heard(TimePoint now);
+  // A connection is served while nothing is read from it: only a look tells that its client has left.
+  void LookForLeavers();
 
   Descriptors& descriptors_;
   ByteBudget& budget_;
@@ -74,6 +76,8 @@
   boost::asio::steady_timer sweep_;
   std::function<void()> drained_;  // set while draining
   bool resting_ = false;
+  bool unread_ = false;     // a connection is served while nothing is read from it
+  bool ended_ = false;      // drained, and told so
   bool succeeded_ = false;  // draining, and a successor takes clients at the same address
   TimePoint drain_started_;
 };
