News: 6 s after any failed call to the service, whatever the settings; slow agents are heard

The operators' term: a change counts as told 6 s after discovery had it and could be reached, after whatever failed call, before all older sentences. Pushed, a whole list was given up after D / 5 each time, so an agent that takes longer was never heard. Ruled out: that the module can keep the term by a shorter pause alone. It does not know how much of the time the failed call took, which leaves it 1.5 s to spread 300 sidecars over.

The loop asks again by itself, by one pure rule in http/news: the next call starts within 4 s of the failed one's start, since the service takes up to 2 s for it; 2.5 s at the least from the second failure in a row on. Calls wait for news only after an answer. A watch waits for 4 s, after news for 2.5 to 4 s, so that watches do not end in step. Places give way to random draws, which also spread where none are told. An answer of an older version is followed by the whole list at once. Pushed, from the first failure on a whole list may take 3/5 D. The module's own pause, where it is embedded without this loop, is bounded too.

The case tables now hold 6 s; in place of "two silent calls in a row are the module's matter" and "turned away: only the module asks" stand the rhythm's lower and upper bounds, by the real loop. The silent agent's count of calls follows the new patience, its bound as exact as before.

Each of these turned tests red: a watch of 5 s, MustAskIn as the pause, no rhythm after the second failure, no spread, watches in step, the old patience for slow agents.

--- a/http/discovery.cpp
+++ b/http/discovery.cpp
@@ -29,6 +29,8 @@
 // The next watch follows an answer well within the 200 ms after which it would be a new one; not sooner than
 // this after the last was sent, so that an agent that answers at once is not asked in a spin.
 constexpr auto kLeastGap = milliseconds(50);
+// Of a call that asks what changed up to now: the least of a watch, which names a wait above 0.
+constexpr auto kNoWait = milliseconds(1);
 constexpr std::uint64_t kMostList = 4 * 1024 * 1024;
 // Beyond these (the year 2286; a million times the usual machine) a list is damaged.
 constexpr std::int64_t kMostBootMs = 9'999'999'999'999;
@@ -148,16 +150,16 @@
   bool connected_ = false;
 };
 
-Discovery::Discovery(boost::asio::io_context& io, Endpoint endpoint, const NewsTerms& terms,
-                     const UnixClock& clock, Logger& log, OnList on_list, OnFailed on_failed)
+Discovery::Discovery(boost::asio::io_context& io, Endpoint endpoint, const NewsTerms& terms, std::uint64_t seed,
+                     const UnixClock& clock, Logger& log, OnList on_list)
     : io_(io),
       endpoint_(std::move(endpoint)),
       terms_(terms),
       clock_(clock),
       log_(log),
       on_list_(std::move(on_list)),
-      on_failed_(std::move(on_failed)),
-      pause_(io) {}
+      pause_(io),
+      random_(seed) {}
 
 Discovery::~Discovery() {
   if (call_) call_->Drop();
@@ -175,7 +177,7 @@
   endpoint_ = std::move(endpoint);
   revision_.reset();  // versions are of the one that counted them
   failures_ = 0;
-  again_ = false;
+  heard_ = false;
   running_ = true;
   Start();
 }
@@ -194,12 +196,13 @@
   counts_.whole_asked += !revision_;
   if (call_ && !call_->reusable()) std::exchange(call_, nullptr)->Drop();
   if (!call_) call_ = std::make_shared<Call>(*this);
-  const bool again = std::exchange(again_, false);
-  if (!revision_) return call_->Start("/discovery/hosts", again ? terms_.again_patience : terms_.list_patience);
-  const Duration wait = again ? terms_.again_wait : terms_.wait;
+  watch_ = heard_ && revision_;
+  const Duration patience = failures_ > 0 ? terms_.retry_patience : terms_.list_patience;
+  if (!revision_) return call_->Start("/discovery/hosts", patience);
+  const Duration wait = watch_ ? terms_.WaitAfter(news_, Draw()) : kNoWait;
   call_->Start("/discovery/hosts?index=" + std::to_string(*revision_) +
                    "&wait=" + std::to_string(duration_cast<milliseconds>(wait).count()),
-               wait + (again ? terms_.again_patience : terms_.watch_patience));
+               wait + (watch_ ? terms_.watch_patience : patience));
 }
 
 void Discovery::Answered(const std::string& body) {
@@ -212,39 +215,37 @@
   // Older than what is held: another one counts there. What changed in between is not known.
   if (revision_ && list.revision < *revision_ && list.update.kind == MembershipUpdate::Kind::kChanges) {
     revision_.reset();
-    return Failed("version " + std::to_string(list.revision) + " after a later one");
+    return Failed("version " + std::to_string(list.revision) + " after a later one",
+                  FailedCall::Kind::kOlder);
   }
   ++(list.update.kind == MembershipUpdate::Kind::kFull ? counts_.whole : counts_.changes);
   counts_.lines += list.update.upstreams.size();
   if (failures_ > 0) log_.Line("discovery answers again");
   failures_ = 0;
+  heard_ = true;
+  news_ = !list.update.upstreams.empty();
   revision_ = list.revision;
   StartIn(std::max(Duration::zero(), Duration(asked_ + kLeastGap - Now())));
   on_list_(std::move(list));
 }
 
 void Discovery::Failed(const error_code& error) {
-  Failed(error.message(), error == boost::beast::error::timeout);
+  Failed(error.message(),
+         error == boost::beast::error::timeout ? FailedCall::Kind::kSilent : FailedCall::Kind::kFault);
 }
 
 // The old list stands, and its version: what changed since is asked for again, which costs a service that all ask
 // the least. An agent is this machine's own, and may have started anew and count from elsewhere: the whole list,
 // which it gives at no cost, and which costs this process what it is to read.
-void Discovery::Failed(const std::string& why, bool silent) {
+void Discovery::Failed(const std::string& why, FailedCall::Kind kind) {
   if (call_) std::exchange(call_, nullptr)->Drop();
   ++counts_.failed;
+  heard_ = false;
   if (!terms_.on_request) revision_.reset();
   if (failures_++ == 0) log_.Line("discovery: " + why);
-  // A silent agent has been waited for already: the patience is the pause.
-  if (!terms_.on_request) return StartIn(silent ? Duration::zero() : terms_.fault_pause);
-  // Silence says nothing of the service, and its news goes on counting as told: once more at once, and no more until
-  // there is an answer. What the service itself turned away is for it to recover from, by the module's pause.
-  if (silent && failures_ == 1) {
-    again_ = true;
-    return StartIn(revision_ ? Duration::zero() : terms_.list_stagger);
-  }
-  running_ = false;
-  on_failed_();
+  const FailedCall call{kind, watch_, failures_, Now() - asked_};
+  const Duration pause = terms_.PauseAfter(call, Draw());
+  StartIn(std::max(pause, Duration(asked_ + kLeastGap - Now())));
 }
 
 }  // namespace mothrack
--- a/http/discovery.h
+++ b/http/discovery.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "core/address.h"
@@ -26,12 +27,10 @@
 class Discovery {
  public:
   using OnList = std::function<void(MembershipList)>;
-  using OnFailed = std::function<void()>;
 
-  // Where membership is told on request, a failure is reported and the next Ask() waited for, except that a call
-  // that fell silent is made anew at once, once until there is an answer; else it asks again by itself.
-  Discovery(boost::asio::io_context& io, Endpoint endpoint, const NewsTerms& terms, const UnixClock& clock,
-            Logger& log, OnList on_list, OnFailed on_failed);
+  // Asks again by itself whatever becomes of a call, as the terms say; `seed` spreads that.
+  Discovery(boost::asio::io_context& io, Endpoint endpoint, const NewsTerms& terms, std::uint64_t seed,
+            const UnixClock& clock, Logger& log, OnList on_list);
   ~Discovery();
 
   // The list of this version is held already: what is asked for is what changed since. Before the first Ask().
@@ -52,9 +51,10 @@
 
   void Start();
   void StartIn(Duration wait);
+  double Draw() { return std::uniform_real_distribution<>()(random_); }
   void Answered(const std::string& body);
   void Failed(const boost::system::error_code& error);
-  void Failed(const std::string& why, bool silent = false);
+  void Failed(const std::string& why, FailedCall::Kind kind = FailedCall::Kind::kFault);
 
   boost::asio::io_context& io_;
   Endpoint endpoint_;
@@ -62,15 +62,17 @@
   const UnixClock& clock_;
   Logger& log_;
   const OnList on_list_;
-  const OnFailed on_failed_;
   boost::asio::steady_timer pause_;
   std::shared_ptr<Call> call_;
   bool running_ = false;
-  bool again_ = false;                     // the next call follows one that fell silent, for all to be asked
+  bool heard_ = false;  // there was an answer, and no failure since: the next call is a watch
+  bool news_ = false;   // there was something in it
+  bool watch_ = false;  // the call that is out is one
   std::uint64_t turn_ = 0;                 // counts the calls, begun or planned: an older plan is void
   std::optional<std::uint64_t> revision_;  // absent: the whole list is needed
   TimePoint asked_;
-  int failures_ = 0;
+  int failures_ = 0;  // in a row
+  std::mt19937_64 random_;
   Counts counts_;
 };
 
--- a/http/news.cpp
+++ b/http/news.cpp
@@ -19,33 +19,39 @@
 constexpr int kWhole = 20;
 constexpr int kWait = 8;
 constexpr int kPatience = 4;
+// All that the drain leaves where no watch was out before: an agent that is slow to give a whole list is not given
+// up again and again, and one that is away is asked less often.
+constexpr int kRetryPatience = 12;
 constexpr int kPause = 2;
 constexpr int kAnswer = 1;
 constexpr int kMargin = 5;
 static_assert(kWait + kPatience + kPause + kAnswer + kMargin == kWhole);
+static_assert(kRetryPatience + kPause + kAnswer + kMargin == kWhole);
 // A moved sidecar counts as told of the new address' list this long after the signal.
 constexpr Duration kMoveTold = seconds(4);
 
-// Asked: what a call misses counts as told this long after it fell silent, or this long after its wait if
-// that is later.
-constexpr Duration kListTold = seconds(6);
-constexpr Duration kWatchTold = seconds(2);
-// A failed call leaves a sidecar this many times `ask_within` before it counts as told all the same.
-constexpr int kFailedTold = 4;
-// One call in five seconds from each sidecar is what the service bears.
-constexpr Duration kServiceWait = seconds(5);
+// Asked: whatever became of the calls before, a change counts as told this long after the service had it and could
+// be reached.
+constexpr Duration kTold = seconds(6);
 // The service fails a call by itself that it could not work through by then: who gives up earlier adds to its
 // work.
 constexpr Duration kServiceTimeOut = seconds(2);
-// Longer than that, so that the service's own answer is heard; the two and the stagger are within kListTold.
-constexpr Duration kServiceListPatience = seconds(3);
-// Whole lists are asked for by all at once after a mass restart or a move; their silences would end together.
-constexpr Duration kListSpread = seconds(1);
-static_assert(kServiceListPatience + kListSpread + kServiceTimeOut <= kListTold);
-constexpr Duration kAgainWait = milliseconds(1);
-// The module's own pause, at most, and how often it looks (src/balancer.cpp: ask_again_at_, kHousekeeping).
-constexpr int kModuleShare = 5;
-constexpr Duration kModuleLooks = milliseconds(250);
+// The one figure that keeps it: the call that is out when the service comes back may be lost, and this long after its
+// start the next one starts at the latest. A watch, too, waits no longer.
+constexpr Duration kNextCallWithin = kTold - kServiceTimeOut;
+// Longer than the service's own time-out, so that its answer is heard; what is left to kNextCallWithin spreads those
+// that were given up together.
+constexpr Duration kServicePatience = milliseconds(2500);
+static_assert(kServiceTimeOut < kServicePatience && kServicePatience < kNextCallWithin);
+// A service that turned a call away is busy or starts anew: not at once.
+constexpr Duration kServicePause = milliseconds(250);
+// A failed call leaves a sidecar this many times `ask_within` before it counts as told all the same: half of it until
+// the next call, half for that.
+constexpr int kFailedTold = 4;
+
+Duration Between(Duration from, Duration until, double share) {
+  return from + Duration(static_cast<Duration::rep>(share * static_cast<double>((until - from).count())));
+}
 
 Duration DrainOf(const NewsRules& rules) { return std::clamp(rules.drain_within, kLeastDrain, kMostDrain); }
 
@@ -56,8 +62,6 @@
   rules.on_request = settings.membership_on_request;
   rules.drain_within = settings.rules.drain_within;
   rules.ask_within = settings.rules.ask_within;
-  rules.place =
-      static_cast<double>(settings.self % settings.balancers) / static_cast<double>(settings.balancers);
   return rules;
 }
 
@@ -68,49 +72,54 @@
   if (!rules.on_request) {
     terms.wait = drain * kWait / kWhole;
     terms.watch_patience = terms.list_patience = drain * kPatience / kWhole;
+    terms.retry_patience = drain * kRetryPatience / kWhole;
     terms.fault_pause = drain * kPause / kWhole;
     terms.answer = drain * kAnswer / kWhole;
     return terms;
   }
-  terms.wait = kServiceWait;
+  terms.wait = kNextCallWithin;
   terms.watch_patience = drain - MarginOf(rules);
-  terms.list_patience = kServiceListPatience;
-  terms.again_wait = kAgainWait;
-  terms.again_patience = kServiceTimeOut - kAgainWait;
-  terms.list_stagger =
-      Duration(static_cast<Duration::rep>(rules.place * static_cast<double>(kListSpread.count())));
-  terms.module_pause = rules.ask_within / kModuleShare + kModuleLooks;
+  terms.list_patience = terms.retry_patience = kServicePatience;
+  terms.fault_pause = kServicePause;
+  terms.retry_within = std::min(kNextCallWithin, kFailedTold * rules.ask_within / 2);
+  terms.answer = kServiceTimeOut;
   return terms;
 }
 
+Duration NewsTerms::WaitAfter(bool news, double spread) const {
+  if (!on_request || !news) return wait;
+  return Between(std::min(wait, list_patience), wait, spread);
+}
+
+Duration NewsTerms::PauseAfter(const FailedCall& call, double spread) const {
+  const bool silent = call.kind == FailedCall::Kind::kSilent;
+  // A silent agent has been waited for already: the patience is the pause.
+  if (!on_request) return silent ? Duration::zero() : fault_pause;
+  // One silent watch says nothing of the service, and watches are over at different moments. And one that answers with
+  // what is of no use can be asked.
+  if (call.kind == FailedCall::Kind::kOlder || (silent && call.watch)) return Duration::zero();
+  // All from when the service may have been back: a watch that broke had its news until then.
+  const Duration used = call.watch ? Duration::zero() : call.lasted;
+  Duration from = silent ? used : used + fault_pause;
+  // A service that is down and refuses is asked no more often than one that is silent.
+  if (call.in_row > 1) from = std::max(from, retry_patience);
+  const Duration until = std::max(from, retry_within);
+  return Between(from, until, spread) - used;
+}
+
 Duration AllowedBy(const NewsRules& rules, NewsCase news) {
   const Duration drain = DrainOf(rules);
-  if (!rules.on_request) return news == NewsCase::kMoved ? kMoveTold + drain : drain;
-  switch (news) {
-    case NewsCase::kWatch:
-      return std::max(kListTold, kServiceWait + kWatchTold) + drain;
-    case NewsCase::kAfterOutage:
-      return kFailedTold * rules.ask_within + drain;
-    default:
-      return kListTold + drain;
-  }
+  if (rules.on_request) return kTold + drain;
+  return news == NewsCase::kMoved ? kMoveTold + drain : drain;
 }
 
+// The call that is out when the news comes is lost, whatever it was; what follows is answered.
 Duration WorstOf(const NewsTerms& terms, NewsCase news) {
-  if (!terms.on_request) {
-    const Duration list = terms.list_patience + terms.fault_pause + terms.answer;
-    return news == NewsCase::kWatch ? terms.wait + terms.watch_patience + terms.fault_pause + terms.answer
-                                    : list;
-  }
-  const Duration again = terms.again_wait + terms.again_patience;
-  switch (news) {
-    case NewsCase::kWatch:
-      return terms.wait + terms.watch_patience + again;
-    case NewsCase::kAfterOutage:
-      return terms.module_pause + again;
-    default:
-      return terms.list_patience + terms.list_stagger + again;
+  if (news == NewsCase::kWatch) {
+    return terms.wait + terms.watch_patience + (terms.on_request ? Duration::zero() : terms.fault_pause) + terms.answer;
   }
+  const Duration patience = news == NewsCase::kAfterOutage ? terms.retry_patience : terms.list_patience;
+  return (terms.on_request ? std::max(patience, terms.retry_within) : patience + terms.fault_pause) + terms.answer;
 }
 
 Duration MarginOf(const NewsRules& rules) { return DrainOf(rules) * kMargin / kWhole; }
--- a/http/news.h
+++ b/http/news.h
@@ -12,7 +12,6 @@
       false;  // one service for all sidecars is asked; else an agent on this machine is pushed to
   kestrellb::Duration drain_within{};
   kestrellb::Duration ask_within{};
-  double place = 0;  // of this sidecar among all of them, from 0 up to 1: what spreads them
 
   static NewsRules Of(const kestrellb::Settings& settings);
 };
@@ -22,32 +21,45 @@
   kWatch,  // a watch falls silent. Counted: pushed, from when the agent has news; asked, from the watch's
            // start
   kList,   // a call that does not wait falls silent; counted alike
-  kAfterOutage,  // discovery was down and is back. Counted from then
+  kAfterOutage,  // after any series of failed calls. Counted from when discovery has the change and can be
+                 // reached
   kMoved,        // SIGHUP named another address. Counted from the signal
   kNewProcess,   // counted from its start
 };
 
-// How discovery is asked.
+// A call that brought no list.
+struct FailedCall {
+  enum class Kind {
+    kSilent,  // it was given up
+    kFault,   // refused, reset, turned away or malformed
+    kOlder,   // changes of a version older than the one held: the whole list is needed
+  };
+  Kind kind = Kind::kFault;
+  bool watch = false;           // it was to wait for news
+  int in_row = 1;               // failed calls since the last answer, with this one
+  kestrellb::Duration lasted{};  // from its start
+};
+
+// How discovery is asked. Only a call that follows an answer is a watch. Until there is one calls do not wait,
+// since only of such a call can be told soon that it is silent.
 struct NewsTerms {
   bool on_request = false;
   kestrellb::Duration wait{};            // a watch asks to be answered by then
   kestrellb::Duration watch_patience{};  // and is given up this long after that
   kestrellb::Duration list_patience{};   // a call that does not wait is given up after this
-  kestrellb::Duration fault_pause{};  // pushed: before the next call, after one refused, broken or malformed
-  // Asked: the one call that follows a silent one at once. It waits for next to nothing, since only of such a
-  // call can be told soon that it is silent too; after a silent whole list it starts later by the stagger.
-  kestrellb::Duration again_wait{};
-  kestrellb::Duration again_patience{};
-  kestrellb::Duration list_stagger{};
-  kestrellb::Duration module_pause{};  // asked: the most that the module takes before it asks after a failure
-  kestrellb::Duration answer{};        // pushed: taken for an answer of the agent, read and acted on
+  kestrellb::Duration retry_patience{};  // and this from the first failed call on to the next answer
+  kestrellb::Duration fault_pause{};  // the least before the next call, after one refused, broken or malformed
+  kestrellb::Duration retry_within{};  // asked: the next call starts at the latest this long after a failed one did
+  kestrellb::Duration answer{};  // until what was asked for is acted on: what the answer may take
 
   static NewsTerms For(const NewsRules& rules);
+  // What a watch asks to be answered by. One that follows an answer with news was begun by all sidecars together.
+  kestrellb::Duration WaitAfter(bool news, double spread) const;
+  // From the failure to the next call; `spread`, drawn anew from 0 up to 1, keeps sidecars out of step, here and above.
+  kestrellb::Duration PauseAfter(const FailedCall& call, double spread) const;
 };
 
-// How late news may be acted on, and how late it is at worst, from the moment named at the case. Asked, the
-// worst holds for one silent call in a row: two say that the way to the service is cut, and then there is
-// nobody to ask.
+// How late news may be acted on, and how late it is at worst, from the moment named at the case.
 kestrellb::Duration AllowedBy(const NewsRules& rules, NewsCase news);
 kestrellb::Duration WorstOf(const NewsTerms& terms, NewsCase news);
 // What the difference of the two must be at least, for what no figure here knows of: a process that waits for
--- a/node/sidecar.cpp
+++ b/node/sidecar.cpp
@@ -45,12 +45,11 @@
       transport_(io, config.settings.limits, config.settings.load_by_probe, descriptors, budget_),
       dispatcher_(io, config.settings, config.seed, transport_, log, [this] { discovery_.Ask(); }),
       discovery_(
-          io, config.discovery, NewsTerms::For(NewsRules::Of(config.settings)), unix_clock_, log,
+          io, config.discovery, NewsTerms::For(NewsRules::Of(config.settings)), config.seed, unix_clock_, log,
           [this](MembershipList list) {
             dispatcher_.Apply(std::move(list));
             if (!ready_) TakeClients();
-          },
-          [this] { dispatcher_.MembershipFailed(); }),
+          }),
       on_ready_(std::move(on_ready)),
       list_awaited_(io),
       front_(io, Where(config, inheritance), descriptors, budget_, log, dispatcher_) {
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -135,6 +135,9 @@
 constexpr Duration kSpell = seconds(2);
 // Clients that are told to come back do so spread over one to two times this, or the settings' longest wait.
 constexpr Duration kRetryAfter = milliseconds(1500);
+// After a failed call for membership the next one follows in up to a fifth of `ask_within`, or of this: a change counts
+// as told 6 s after it could be asked for, and the failed call and the next take 2 s each. The look takes the rest.
+constexpr Duration kMostAskWithin = milliseconds(8750);
 
 }  // namespace
 
@@ -198,9 +201,9 @@
 
   void On(const MembershipUpdate& update) {
     if (update.kind == MembershipUpdate::Kind::kFailed) {
-      // Asking again at once would add to what made it fail; well inside `ask_within` the list still holds.
+      // Asking again at once would add to what made it fail.
       if (settings_.membership_on_request)
-        ask_again_at_ = now_ + Scaled(settings_.rules.ask_within, 0.1 + 0.1 * Uniform());
+        ask_again_at_ = now_ + Scaled(std::min(settings_.rules.ask_within, kMostAskWithin), 0.1 + 0.1 * Uniform());
       return;
     }
     // What a whole list leaves out is gone.
