Configuration: a spoilt or missing setting is named, and no default stands in for it

Need: no settings of one customer may leak into another's. Seen, with copies of the two deployments' config.json that were damaged field by field (missing, null, wrong type, out of range): 214 of the damages were taken in silence. Without Rules.StopSendingWithin a sidecar had the 500 ms of the operators' site where the deployment wants 100; without PeersTotal each took the whole budget of a cold upstream; `"Limits": 7` was all defaults; MaxAttempts -1 was 2^64 - 1 and 2.5 was 2; MembershipMode "sometimes" was pushed. Others were named by the module's words only (classes.key_window for Window) or without their class.

Cause: node/config.cpp handed `settings` straight to the reader of the simulator's wire, which fills in what it does not find (Part, Maybe) and converts with nlohmann's get(): a bool or a fraction becomes an integer, a negative one wraps. That reader stays as it is; the simulator's host tolerates more on purpose.

One line: `LB_CONFIG: settings.Classes[2].Window is missing`. Unknown fields are passed over. Fields that the wire's page says may be absent may be.

--- /dev/null
+++ b/tests/sites_test.cpp
@@ -0,0 +1,348 @@
+// The deployments in deploy/sites/: what each tells a sidecar is read as it stands, and no figure of another
+// deployment stands in for one that is spoilt or lost.
+#include <toml++/toml.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config.h"
+#include "core/clock.h"
+#include "gtest/gtest.h"
+#include "http/discovery.h"
+
+namespace mothrack {
+namespace {
+
+using kestrellb::Effect;
+using kestrellb::KeyScope;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Pointer = json::json_pointer;
+
+std::string PathOf(const std::string& site, const std::string& name) {
+  return MOTHRACK_SITES "/" + site + "/" + name;
+}
+
+json ReadJson(const std::string& path) {
+  std::ifstream stream(path);
+  return json::parse(stream);
+}
+
+class File {
+ public:
+  explicit File(const json& content)
+      : path_(std::filesystem::temp_directory_path() / ("site-" + std::to_string(::getpid()) + ".json")) {
+    std::ofstream(path_) << content;
+  }
+  ~File() { std::filesystem::remove(path_); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+// As the platform starts a sidecar, with LB_CONFIG a copy that holds `content`.
+Config Load(const json& content) {
+  const File file(content);
+  const auto variable = [&file](const char* name) -> const char* {
+    const std::string_view wanted(name);
+    if (wanted == "LB_NAME") return "n1";
+    if (wanted == "LB_LISTEN") return "127.0.0.1:9000";
+    if (wanted == "LB_DISCOVERY") return "127.0.0.1:8500";
+    return wanted == "LB_CONFIG" ? file.path().c_str() : nullptr;
+  };
+  return LoadConfig(variable);
+}
+
+// The error of a damaged copy: one line, and of the right file. "taken" where it was not noticed.
+std::string ErrorOf(const json& file) {
+  try {
+    Load(file);
+  } catch (const ConfigError& e) {
+    const std::string what = e.what();
+    EXPECT_TRUE(what.starts_with("LB_CONFIG: ")) << what;
+    EXPECT_EQ(what.find('\n'), std::string::npos) << what;
+    return what;
+  }
+  return "taken";
+}
+
+// Whether it names `path`, as a whole: not a longer name that begins alike.
+bool Names(const std::string& error, const std::string& path) {
+  return (error + ' ').find(' ' + path + ' ') != std::string::npos;
+}
+
+std::string Dotted(const std::string& pointer) {
+  std::string path;
+  for (const char c : pointer.substr(1)) path += c == '/' ? '.' : c;
+  for (std::size_t digit;
+       (digit = path.find_first_of("0123456789")) != std::string::npos && path[digit - 1] == '.';) {
+    path = path.substr(0, digit - 1) + '[' + path[digit] + ']' + path.substr(digit + 1);
+  }
+  return path;
+}
+
+class Site : public ::testing::TestWithParam<const char*> {
+ protected:
+  std::string site() const { return GetParam(); }
+  json config() const { return ReadJson(PathOf(site(), "config.json")); }
+};
+
+INSTANTIATE_TEST_SUITE_P(, Site, ::testing::Values("parcels", "clinic"),
+                         [](const auto& info) { return std::string(info.param); });
+
+TEST(Sites, AreReadAsTheyStandAndDiffer) {
+  const auto parcels = Load(ReadJson(PathOf("parcels", "config.json"))).settings;
+  const auto clinic = Load(ReadJson(PathOf("clinic", "config.json"))).settings;
+  EXPECT_TRUE(parcels.membership_on_request);
+  EXPECT_FALSE(clinic.membership_on_request);
+  EXPECT_EQ(parcels.rules.drain_within, milliseconds(2500));
+  EXPECT_EQ(clinic.rules.drain_within, milliseconds(100));
+  EXPECT_EQ(parcels.rules.ask_within, seconds(40));
+  EXPECT_EQ(parcels.classes[0].deadline, milliseconds(400));
+  EXPECT_EQ(clinic.classes[1].deadline, seconds(12));
+  EXPECT_EQ(parcels.classes[1].effect, Effect::kUnsafe);
+  EXPECT_EQ(parcels.classes[2].effect, Effect::kKeyed);
+  EXPECT_EQ(parcels.classes[2].key_window, milliseconds(300));
+  EXPECT_EQ(clinic.classes[2].key_scope, KeyScope::kZone);
+  EXPECT_EQ(parcels.limits.max_retry_after, milliseconds(200));
+  EXPECT_EQ(clinic.limits.max_retry_after, seconds(20));
+  EXPECT_EQ(parcels.limits.max_attempts, 3U);
+  EXPECT_EQ(clinic.limits.max_attempts, 12U);
+  EXPECT_TRUE(parcels.limits.cancel);
+  EXPECT_FALSE(clinic.limits.cancel);
+  EXPECT_FALSE(parcels.limits.second_copies);
+  EXPECT_EQ(parcels.tenants.size(), 0U);
+  EXPECT_EQ(clinic.tenants.size(), 3U);
+  EXPECT_EQ(parcels.balancers, 24U);
+  EXPECT_EQ(parcels.self, 5U);
+  EXPECT_EQ(Load(ReadJson(PathOf("parcels", "config.json"))).memory, std::size_t{48} << 20);
+}
+
+// Two files tell of one deployment: the bench's and the sidecar's.
+TEST_P(Site, ConfigurationIsTheSitesOwn) {
+  const toml::table file = toml::parse_file(PathOf(site(), site() + ".toml"));
+  const auto settings = Load(config()).settings;
+  const auto time = [](const auto& node) { return milliseconds(node.value_or(std::int64_t{-1})); };
+  const toml::array& classes = *file["class"].as_array();
+  ASSERT_EQ(classes.size(), settings.classes.size());
+  const std::map<std::string, Effect> effects = {
+      {"safe", Effect::kSafe}, {"keyed", Effect::kKeyed}, {"unsafe", Effect::kUnsafe}};
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    const toml::table& cls = *classes[i].as_table();
+    EXPECT_EQ(cls["name"].value_or(""), settings.classes[i].name);
+    EXPECT_EQ(time(cls["aim_ms"]), settings.classes[i].aim);
+    EXPECT_EQ(time(cls["deadline_ms"]), settings.classes[i].deadline);
+    EXPECT_EQ(cls["worth"].value_or(-1.0), settings.classes[i].worth);
+    EXPECT_EQ(effects.at(cls["effect"].value_or("")), settings.classes[i].effect);
+    const auto window = cls["window_ms"] ? time(cls["window_ms"]) : settings.classes[i].key_window;
+    EXPECT_EQ(window, settings.classes[i].key_window);
+  }
+  EXPECT_EQ(file["discovery"]["mode"].value_or(std::string()) == "ask", settings.membership_on_request);
+  EXPECT_EQ(time(file["rules"]["drain_grace_ms"]), settings.rules.drain_within);
+  EXPECT_EQ(time(file["rules"]["fall_ms"]), settings.rules.fall_window);
+  EXPECT_EQ(file["rules"]["fall_multiple"].value_or(-1.0), settings.rules.fall_multiple);
+  EXPECT_EQ(file["allow"]["max_attempts"].value_or(0U), settings.limits.max_attempts);
+  EXPECT_EQ(file["allow"]["cancel"].value_or(false), settings.limits.cancel);
+  EXPECT_EQ(file["allow"]["second_copies"].value_or(false), settings.limits.second_copies);
+  EXPECT_EQ(time(file["clients"]["max_retry_after_ms"]), settings.limits.max_retry_after);
+}
+
+// real.json names things on the sockets: a list in its words is one that the sidecar reads, and one in which
+// a word is spoilt is turned away with the word.
+TEST_P(Site, NamesOnTheSocketsAreTheSidecars) {
+  const json real = ReadJson(PathOf(site(), "real.json"));
+  const auto list = [](const json& names) {
+    const auto word = [&names](const char* pointer) { return names.at(Pointer(pointer)).get<std::string>(); };
+    json targets = json::array();
+    for (const char* state : {"/states/ready", "/states/draining"}) {
+      targets.push_back({{word("/f/id"), state},
+                         {word("/f/addr"), "127.0.0.1:9100"},
+                         {word("/f/zone"), "z"},
+                         {word("/f/kind"), "k"},
+                         {word("/f/cell"), 4},
+                         {word("/f/state"), word(state)},
+                         {word("/f/weight"), 2.5},
+                         {word("/f/started"), 0}});
+    }
+    return json{{word("/f/version"), 7}, {word("/f/full"), true}, {word("/f/list"), targets}};
+  };
+  const UnixClock clock;
+  const auto read = ParseList(list(real), clock);
+  ASSERT_EQ(read.update.upstreams.size(), 2U);
+  EXPECT_EQ(read.revision, 7U);
+  const auto& info = read.update.upstreams[1];
+  EXPECT_EQ(info.state, kestrellb::UpstreamState::kDraining);
+  EXPECT_EQ(info.zone, "z");
+  EXPECT_EQ(info.kind, "k");
+  EXPECT_EQ(info.cell, 4);
+  EXPECT_EQ(info.weight, 2.5);
+  // What is missing then, or unknown.
+  for (const char* pointer :
+       {"/f/version", "/f/full", "/f/list", "/f/id", "/f/addr", "/f/state", "/states/ready"}) {
+    json spoilt = real;
+    spoilt[Pointer(pointer)] = "spoilt";
+    const std::string name =
+        std::string(pointer).starts_with("/f/") ? real.at(Pointer(pointer)).get<std::string>() : "spoilt";
+    try {
+      ParseList(list(spoilt), clock);
+      ADD_FAILURE() << pointer << " was not missed";
+    } catch (const std::exception& e) {
+      EXPECT_NE(std::string(e.what()).find(name), std::string::npos) << pointer << ": " << e.what();
+    }
+  }
+}
+
+// What may stand in a field: anything else is damage.
+enum class Takes { kText, kWord, kFlag, kTime, kLongTime, kCount, kPart, kPositive, kNumber, kList };
+
+std::vector<json> Damages(Takes takes) {
+  const double too_much = 1e18;
+  switch (takes) {
+    case Takes::kText:
+      return {7, true, json::array()};
+    case Takes::kWord:
+      return {7, "", "sometimes", json::object()};
+    case Takes::kFlag:
+      return {0, "true", json::array()};
+    case Takes::kTime:
+      return {"1 s", true, 2.5, -1, too_much, 1e300, json::object()};
+    case Takes::kLongTime:
+      return {"1 s", true, 2.5, -1, 0, too_much, json::object()};
+    case Takes::kCount:
+      return {"three", true, 2.5, -1, 4e6, json::array()};
+    case Takes::kPart:
+      return {"0.5", false, -0.5, 1.5};
+    case Takes::kPositive:
+      return {"0.5", false, 0, -0.5, too_much};
+    case Takes::kNumber:
+      return {"0.5", false, -0.5};
+    case Takes::kList:
+      return {7, "none", json::object(), json::array({7})};
+  }
+  return {};
+}
+
+constexpr struct {
+  const char* pointer;
+  Takes takes;
+  bool may_lack = false;
+} kFields[] = {
+    {"/settings/Classes/1/Name", Takes::kText},
+    {"/settings/Classes/1/Effect", Takes::kWord},
+    {"/settings/Classes/1/Aim", Takes::kLongTime},
+    {"/settings/Classes/2/HardLimit", Takes::kLongTime},
+    {"/settings/Classes/1/Worth", Takes::kNumber},
+    {"/settings/Classes/1/LateWorth", Takes::kPart},
+    {"/settings/Classes/1/Stream", Takes::kFlag},
+    {"/settings/Classes/1/Window", Takes::kTime, true},
+    {"/settings/Classes/2/Window", Takes::kLongTime},  // the keyed one, at both
+    {"/settings/Classes/2/KeyScope", Takes::kWord},
+    {"/settings/MembershipMode", Takes::kWord},
+    {"/settings/PeersTotal", Takes::kCount},
+    {"/settings/Me", Takes::kCount},
+    {"/settings/Zone", Takes::kText, true},
+    {"/settings/Weights", Takes::kText, true},
+    {"/settings/OverShareWorth", Takes::kNumber, true},
+    {"/settings/Limits/MaxAttempts", Takes::kCount},
+    {"/settings/Limits/SecondCopies", Takes::kFlag},
+    {"/settings/Limits/Cancelling", Takes::kFlag},
+    {"/settings/Limits/MayProbe", Takes::kFlag},
+    {"/settings/Limits/RetryAfter", Takes::kFlag},
+    {"/settings/Limits/MaxRetryAfter", Takes::kTime},
+    {"/settings/Limits/ConnectTimeout", Takes::kLongTime},
+    {"/settings/Limits/IdleClose", Takes::kLongTime},
+    {"/settings/Limits/Multiplex", Takes::kCount},
+    {"/settings/Rules/GraceToAnswer", Takes::kTime},
+    {"/settings/Rules/StopSendingWithin", Takes::kTime},
+    {"/settings/Rules/ColdFrom", Takes::kPart},
+    {"/settings/Rules/Cold", Takes::kLongTime},
+    {"/settings/Rules/FallMultiple", Takes::kPositive},
+    {"/settings/Rules/Fall", Takes::kLongTime},
+    {"/settings/Prices/CrossZone", Takes::kNumber},
+    {"/settings/Prices/Handshake", Takes::kNumber},
+    {"/settings/Prices/Probe", Takes::kNumber},
+    {"/settings/Prices/Waste", Takes::kNumber},
+    {"/settings/Prices/LateFail", Takes::kNumber},
+    {"/settings/Report/How", Takes::kText},
+    {"/limits/sockets", Takes::kCount},
+    {"/limits/memory_mb", Takes::kPositive, true},
+};
+
+TEST_P(Site, DamagedFieldIsNamed) {
+  const json good = config();
+  ASSERT_EQ(ErrorOf(good), "taken");
+  const auto expect = [](const json& damaged, const std::string& pointer, const std::string& how) {
+    const std::string error = ErrorOf(damaged);
+    EXPECT_TRUE(Names(error, Dotted(pointer))) << pointer << ' ' << how << ": " << error;
+  };
+  for (const auto& field : kFields) {
+    ASSERT_TRUE(good.contains(Pointer(field.pointer))) << field.pointer;
+    for (const json& damage : Damages(field.takes)) {
+      if (std::string_view(field.pointer) == "/limits/memory_mb" && damage == 1e18) continue;  // all there is
+      json damaged = good;
+      damaged[Pointer(field.pointer)] = damage;
+      expect(damaged, field.pointer, damage.dump());
+    }
+    const Pointer place(field.pointer);
+    for (const bool null : {false, true}) {
+      json damaged = good;
+      if (null) {
+        damaged[place] = nullptr;
+      } else {
+        damaged[place.parent_pointer()].erase(place.back());
+      }
+      if (!field.may_lack) expect(damaged, field.pointer, null ? "null" : "missing");
+    }
+  }
+  for (const char* part :
+       {"/settings", "/settings/Classes", "/settings/Limits", "/settings/Rules", "/limits"}) {
+    for (const json& damage : {json(7), json("none"), json(true)}) {
+      json damaged = good;
+      damaged[Pointer(part)] = damage;
+      expect(damaged, part, damage.dump());
+    }
+  }
+  json damaged = good;
+  damaged["settings"]["Classes"] = json::array();
+  expect(damaged, "/settings/Classes", "empty");
+  damaged["settings"]["Classes"] = {good["settings"]["Classes"][0], good["settings"]["Classes"][0]};
+  expect(damaged, "/settings/Classes/1/Name", "twice");
+}
+
+// Fields that only one of the two has a use for.
+TEST(Sites, FieldsOfOneSiteAreNamedToo) {
+  json asked = ReadJson(PathOf("parcels", "config.json"));
+  asked["settings"]["Rules"].erase("MustAskIn");
+  EXPECT_TRUE(Names(ErrorOf(asked), "settings.Rules.MustAskIn"));
+  json pushed = ReadJson(PathOf("clinic", "config.json"));
+  pushed["settings"]["Rules"].erase("MustAskIn");
+  EXPECT_EQ(ErrorOf(pushed), "taken");
+  for (const char* name : {"Name", "Share", "QuotaPerS"}) {
+    json tenants = ReadJson(PathOf("clinic", "config.json"));
+    tenants["settings"]["Tenants"][1].erase(name);
+    EXPECT_TRUE(Names(ErrorOf(tenants), std::string("settings.Tenants[1].") + name));
+  }
+  json tenants = ReadJson(PathOf("clinic", "config.json"));
+  tenants["settings"]["Tenants"][1]["Share"] = -0.1;
+  EXPECT_TRUE(Names(ErrorOf(tenants), "settings.Tenants[1].Share"));
+}
+
+// Deployments add figures, and a whole number may be written as a decimal.
+TEST_P(Site, WhatIsUnknownOrWrittenOtherwiseIsTaken) {
+  json file = config();
+  file["settings"]["New"] = {{"Figure", 3}};
+  file["settings"]["Limits"]["New"] = "word";
+  file["settings"]["Limits"]["MaxAttempts"] = 4.0;
+  file["settings"]["Classes"][0]["AimStretch"] = 0.5;
+  EXPECT_EQ(Load(file).settings.limits.max_attempts, 4U);
+}
+
+}  // namespace
+}  // namespace mothrack
