Dispatcher: an attempt of an ended request has its end, and the module hears ends in order

Seen: the histories of tests/dispatcher_histories_test.cpp found three faults, listed as known red until now. Causes: - Dispatcher::CarryOut(SendAttempt) dropped a send where the request had ended within the same turn and was forgotten: the module kept that attempt, and what its upstream holds, for ever. ForgetIfDone now waits for the turn's end. - Dispatcher::Ended called the front ahead of telling the module, which then heard of the next request first. - Dispatcher::End called a Final late by the deadline of a request whose body still came, whose time had not begun. - Balancer's Adopt took an upstream's zone and cell from the line that says it left, where they may be missing: a keyed request could go again to one that does not drop its repeats. The histories now know Transport::Abandon, too: what had not begun when its request ended may not be written after.

--- a/core/dispatcher.cpp
+++ b/core/dispatcher.cpp
@@ -21,13 +21,14 @@
 // stays set would stop the whole node.
 class Busy {
  public:
-  explicit Busy(bool& flag) : flag_(flag) { flag_ = true; }
-  ~Busy() { flag_ = false; }
+  explicit Busy(bool& flag) : flag_(flag), before_(flag) { flag_ = true; }
+  ~Busy() { flag_ = before_; }
   Busy(const Busy&) = delete;
   Busy& operator=(const Busy&) = delete;
 
  private:
   bool& flag_;
+  const bool before_;
 };
 
 }  // namespace
@@ -56,6 +57,7 @@
       }
     }
   }
+  for (const RequestId id : std::exchange(done_, {})) ForgetIfDone(id);
   timers_.Arm();
 }
 
@@ -172,18 +174,23 @@
     Count(pending, served ? Tally::Outcome::kServed : Tally::Outcome::kFailed);
   }
   const bool finished = served || !pending.on_final;
-  if (!served) {
-    pending.last_reply = std::move(result.reply);
-  } else if (const auto on_final = std::exchange(pending.on_final, nullptr)) {
-    Count(pending, Tally::Outcome::kServed);
-    Final final;
-    final.kind = Final::Kind::kServed;
-    final.reply = std::move(result.reply);
-    final.attempts = pending.attempts.size();
-    final.last = Outcome::kServed;
-    on_final(std::move(final));  // may take the next request in: `pending` is not touched any more
+  {
+    // The module hears of the end ahead of what the front does on it, such as taking the next request in.
+    const Busy busy(delivering_);
+    events_.push_back(AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load});
+    if (!served) {
+      pending.last_reply = std::move(result.reply);
+    } else if (const auto on_final = std::exchange(pending.on_final, nullptr)) {
+      Count(pending, Tally::Outcome::kServed);
+      Final final;
+      final.kind = Final::Kind::kServed;
+      final.reply = std::move(result.reply);
+      final.attempts = pending.attempts.size();
+      final.last = Outcome::kServed;
+      on_final(std::move(final));  // `pending` is not touched any more
+    }
   }
-  Deliver(AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load});
+  if (!delivering_) Pump();
   if (served) AbandonUnsent(id);
   ForgetIfDone(id);
 }
@@ -191,7 +198,8 @@
 void Dispatcher::End(RequestId id, Final final) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
-  final.late = Now() >= it->second.deadline;
+  // Of one that still comes the time has not begun.
+  final.late = !it->second.arriving && Now() >= it->second.deadline;
   final.attempts = it->second.attempts.size();
   final.last = it->second.last;
   final.reply = std::move(it->second.last_reply);
@@ -215,8 +223,9 @@
   for (const ExchangeId attempt : attempts) transport_.Abandon(attempt);
 }
 
-// While events wait their attempts are still needed: their turn comes with the last of them.
+// What the module decided within this turn may still send for it, and each such attempt is owed its end.
 void Dispatcher::ForgetIfDone(RequestId id) {
+  if (delivering_) return done_.push_back(id);
   const auto it = requests_.find(id);
   if (it == requests_.end() || it->second.on_final || it->second.out > 0) return;
   if (it->second.counted) --owed_;  // refused or failed while it still came
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -133,6 +133,7 @@
   std::deque<kestrellb::Event> events_;
   std::vector<kestrellb::Action> actions_;
   bool delivering_ = false;
+  std::vector<kestrellb::RequestId> done_;  // to be forgotten behind this turn
   std::unordered_map<kestrellb::RequestId, Pending> requests_;
   Tally tally_;
   std::size_t owed_ = 0;
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -257,7 +257,10 @@
       u->rank = Hash(info.id.value, settings_.self);
       u->cold_refilled = now_;
     }
+    // That it left may be told without its place, which decides who knows the keys of its calls.
+    const UpstreamInfo place = u->info;
     u->info = info;
+    if (!new_process && info.state == UpstreamState::kGone) u->info.zone = place.zone, u->info.cell = place.cell;
     u->listed = true;
     if (!(u->info.weight > 0)) u->info.weight = 1;
     // Sidecars that hear of it together must not all call it at once; but where each may send it a fraction
--- a/tests/dispatcher_histories_test.cpp
+++ b/tests/dispatcher_histories_test.cpp
@@ -143,6 +143,7 @@
     bool started = false;    // its answer
     bool never = false;      // nothing of it may be written any more
     bool cancelled = false;  // by the dispatcher
+    bool abandoned = false;
     std::optional<Outcome> outcome{};
     ExchangeHooks hooks{};
   };
@@ -192,6 +193,8 @@
     for (const ExchangeId id : out_) {
       const Attempt& attempt = attempts_.at(id);
       const Call& call = calls_[attempt.call];
+      Check(!call.ended() || attempt.written || attempt.started || attempt.never,
+            "what had not begun when its request ended may still be written");
       if (!settings_.limits.cancel || attempt.cancelled || !call.ended()) continue;
       if (call.streams == id && !call.left) continue;
       Check(ClassOf(call).effect != Effect::kUnsafe,
@@ -297,6 +300,16 @@
                                 : Outcome::kNotSent);
   }
 
+  void Abandon(ExchangeId id) override {
+    const auto it = attempts_.find(id);
+    if (it == attempts_.end() || it->second.outcome || it->second.written || it->second.started) return;
+    it->second.abandoned = true;
+    if (!it->second.begun) it->second.never = true;
+    if (!it->second.begun && random_.Chance(0.5)) return;  // while its connection comes up
+    ++seen_["abandoned"];
+    End(id, it->second.begun ? Outcome::kCancelled : Outcome::kNotSent);
+  }
+
   void Probe(ExchangeId, const std::string&, OnEnd on_end) override {
     if (random_.Chance(0.5)) return probes_.push_back(std::move(on_end));
     on_end({Outcome::kConnectFailed, Duration(1), {}, nullptr});
@@ -632,7 +645,8 @@
   auto seen = Keep(Rule::kAll);
   if (HasFailure()) return;
   // Each crossing that they are for has to be met.
-  for (const char* what : {"answer started",
+  for (const char* what : {"abandoned",
+                           "answer started",
                            "answer started after its request's end",
                            "answer streamed",
                            "attempt ended after its request",
