Cold budgets go by a rate learnt from nothing over two fall windows

Need: calls of all sidecars together to a cold upstream may be N + 2 x root of N + 2 in a window at most, N being what the settings allow.

Seen: modules over simple upstreams in made-up time, warm ones at 50 to 75 % of their capacity. Where all sidecars and all upstreams were new, 1.0 to 1.55 times that bound came 1.2 to 2.9 s after the start (300 sidecars over 40: 50 calls where N is 21 and the bound 32). Lines at fault: UpdateUsual() took the first quarter of a second of a new sidecar for its usual rate (dt / memory is 1 there), and a restarted one is met by the calls that waited for it. Ruled out, each by a case of the same test or a trial of it, all under 0.7 of the bound: one and half replaced, sidecars rolled, warm ones that refuse, are full, fail half or fall silent after budgets were saved, twice the calls. The random first call and the one saved call of a trickle are not the cause.

Change: the budgets have a rate of their own, that starts from nothing and remembers two fall windows at least. The rate that everything else goes by is as it was: with it slowed too, a great loss refused nobody (LostZone case red).

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -1042,16 +1042,24 @@
   // Calls a second that this sidecar may send it.
   double ColdRate(const Upstream& u) const {
     const double usual =
-        std::max(usual_served_, usual_rate_ / 2) * u.info.weight / std::max(usual_weight_, u.info.weight);
+        std::max(cold_served_, cold_asked_ / 2) * u.info.weight / std::max(usual_weight_, u.info.weight);
     return settings_.rules.fall_multiple * kColdSafety * Warmth(u) * usual;
   }
 
   // The usual rate and weight change slowly: a burst or the loss of half the list must not raise the budgets.
   void UpdateUsual() {
     const double dt = Seconds(kHousekeeping);
-    const double memory = std::min(Seconds(now_ - started_), Seconds(settings_.rules.cold_time) / 2);
+    const double most = Seconds(settings_.rules.cold_time) / 2;
+    const double age = Seconds(now_ - started_);
+    const double memory = std::min(age, most);
     usual_rate_ += (static_cast<double>(arrivals_) / dt - usual_rate_) * std::min(1.0, dt / memory);
-    usual_served_ += (static_cast<double>(served_) / dt - usual_served_) * std::min(1.0, dt / memory);
+    // Nor must a start: a fleet that restarts is met at once by all the calls that waited for it, and where
+    // each sidecar took its first quarter of a second for its usual rate, the budgets of all would add up to
+    // more than a cold upstream can do. So they go by what is learnt from nothing, over two windows at least.
+    const double cautious =
+        std::min(1.0, dt / std::min(std::max(age, 2 * Seconds(settings_.rules.fall_window)), most));
+    cold_asked_ += (static_cast<double>(arrivals_) / dt - cold_asked_) * cautious;
+    cold_served_ += (static_cast<double>(served_) / dt - cold_served_) * cautious;
     arrivals_ = served_ = 0;
     usual_weight_ =
         std::max(ListedWeight(), usual_weight_ * (1 - dt / (2 * Seconds(settings_.rules.cold_time))));
@@ -1152,7 +1160,8 @@
   std::uint64_t arrivals_ = 0;     // since the last housekeeping
   std::uint64_t served_ = 0;       // likewise
   double usual_rate_ = 0;         // requests taken a second, slowly changing; clients' repeats are among them
-  double usual_served_ = 0;       // answers served a second, slowly changing
+  double cold_asked_ = 0;         // the same as the budgets of cold upstreams go by it, learnt from nothing
+  double cold_served_ = 0;        // answers served a second, likewise
   std::vector<Mean> usual_time_;  // microseconds, by class
   Mean usual_any_;
   Mean connecting_;        // how hard it is, 0 to 1
