Dispatcher: ids are known as long as the settings say, and a list within a turn is queued

Reason: ids of ended requests were kept 5 s whatever the deployment; with deadlines of 12 s or a window of 20 s, as in deploy/sites/clinic, a copy that comes 5 s after the end ran again. Beside it, by reading: Tell() within a turn would have re-entered handle(), and Started() told the front ahead of the module.

Change: Dispatcher::KeyMemory, from the longest deadline and keyed window, 5 s at least, 8,192 ids as before. Tell() queues within a turn; AnswerStarted is queued ahead of the Final.

--- a/core/dispatcher.cpp
+++ b/core/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatcher.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -13,8 +14,8 @@
 using kestrellb::RequestId;
 
 // Keys are never used again by honest clients, so they need no longer memory than a copy that crosses the
-// answer takes.
-constexpr Duration kKeyMemory = std::chrono::seconds(5);
+// answer takes: at least this, and as long as a request may be under way or its repeats are told apart upstream.
+constexpr Duration kLeastKeyMemory = std::chrono::seconds(5);
 constexpr std::size_t kMostEndedKeys = 8192;
 
 // Set for as long as events are only queued. Guards the queue against an exception on the way: a flag that
@@ -33,6 +34,15 @@
 
 }  // namespace
 
+Duration Dispatcher::KeyMemory(const kestrellb::Settings& settings) {
+  Duration longest = kLeastKeyMemory;
+  for (const auto& known : settings.classes) {
+    longest = std::max(longest, known.deadline);
+    if (known.effect == kestrellb::Effect::kKeyed) longest = std::max(longest, known.key_window);
+  }
+  return longest;
+}
+
 Dispatcher::Dispatcher(std::unique_ptr<Alarm> alarm, const kestrellb::Settings& settings, std::uint64_t seed,
                        Transport& transport, Logger& log, OnSubscribe on_subscribe)
     : settings_(settings),
@@ -41,7 +51,7 @@
       log_(log),
       on_subscribe_(std::move(on_subscribe)),
       tally_(settings.classes.size(), settings.tenants.size()),
-      keys_(kKeyMemory, kMostEndedKeys),
+      keys_(KeyMemory(settings), kMostEndedKeys),
       timers_(std::move(alarm), [this](std::uint64_t token) { Deliver(kestrellb::TimerFired{token}); }) {}
 
 void Dispatcher::Pump() {
@@ -69,7 +79,7 @@
     events_.push_back(std::move(list.update));
     for (const auto& [uid, location] : list.locations) transport_.Apply(uid, location);
   }
-  Pump();
+  if (!delivering_) Pump();
 }
 
 void Dispatcher::Apply(MembershipList list) { Tell(roster_.Take(std::move(list))); }
@@ -157,8 +167,12 @@
   final.reply = std::move(reply);
   final.streaming = true;
   final.attempts = pending.attempts.size();
-  on_final(std::move(final));
-  Deliver(kestrellb::AnswerStarted{id, attempt});
+  {
+    const Busy busy(delivering_);
+    events_.push_back(kestrellb::AnswerStarted{id, attempt});
+    on_final(std::move(final));  // `pending` is not touched any more
+  }
+  if (!delivering_) Pump();
   AbandonUnsent(id);
 }
 
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -51,6 +51,8 @@
   // Takes an upstream out by hand, whatever the list says, and puts it back; false where it was never listed.
   bool Ban(const std::string& uid);
   bool Unban(const std::string& uid);
+  // How long the key of a request that has ended is known.
+  static Duration KeyMemory(const kestrellb::Settings& settings);
   // Keys of requests that are open or ended a short while ago; and of those that another process of this
   // sidecar took. `on_key` hears of each that is taken and must not be repeated.
   std::vector<std::string> RecentKeys() const { return keys_.All(); }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -227,6 +227,24 @@
   EXPECT_EQ(finals.size(), 1U);
 }
 
+// As long as its class lets it be under way, or upstreams tell its repeats apart; whatever another deployment has.
+TEST_F(DispatcherTest, KeysAreKnownForAsLongAsTheSettingsSay) {
+  struct Case {
+    int deadline_s, window_s;
+    kestrellb::Effect effect;
+    int known_s;
+  };
+  for (const Case& c : {Case{1, 0, kestrellb::Effect::kSafe, 5}, Case{12, 0, kestrellb::Effect::kUnsafe, 12},
+                        Case{1, 20, kestrellb::Effect::kKeyed, 20}, Case{1, 20, kestrellb::Effect::kSafe, 5}}) {
+    kestrellb::Settings settings = TestSettings();
+    settings.classes.resize(1);
+    settings.classes[0].deadline = std::chrono::seconds(c.deadline_s);
+    settings.classes[0].key_window = std::chrono::seconds(c.window_s);
+    settings.classes[0].effect = c.effect;
+    EXPECT_EQ(Dispatcher::KeyMemory(settings), std::chrono::seconds(c.known_s));
+  }
+}
+
 TEST_F(DispatcherTest, WholeListTellsTheTransportWhoIsGone) {
   dispatcher.Apply(Members({"u2", "u3"}));
   EXPECT_EQ(transport.locations.at("u1").state, kestrellb::UpstreamState::kGone);
