--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -135,8 +135,9 @@
 constexpr Duration kSpell = seconds(2);
 // Clients that are told to come back do so spread over one to two times this, or the settings' longest wait.
 constexpr Duration kRetryAfter = milliseconds(1500);
-// After a failed call for membership the next one follows in up to a fifth of `ask_within`, or of this: a change counts
-// as told 6 s after it could be asked for, and the failed call and the next take 2 s each. The look takes the rest.
+// After a failed call for membership the next one follows in up to a fifth of `ask_within`, or of this: a
+// change counts as told 6 s after it could be asked for, and the failed call and the next take 2 s each. The
+// look takes the rest.
 constexpr Duration kMostAskWithin = milliseconds(8750);
 
 }  // namespace
@@ -203,7 +204,8 @@
     if (update.kind == MembershipUpdate::Kind::kFailed) {
       // Asking again at once would add to what made it fail.
       if (settings_.membership_on_request)
-        ask_again_at_ = now_ + Scaled(std::min(settings_.rules.ask_within, kMostAskWithin), 0.1 + 0.1 * Uniform());
+        ask_again_at_ =
+            now_ + Scaled(std::min(settings_.rules.ask_within, kMostAskWithin), 0.1 + 0.1 * Uniform());
       return;
     }
     // What a whole list leaves out is gone.
@@ -260,7 +262,10 @@
     // That it left may be told without its place, which decides who knows the keys of its calls.
     const UpstreamInfo place = u->info;
     u->info = info;
-    if (!new_process && info.state == UpstreamState::kGone) u->info.zone = place.zone, u->info.cell = place.cell;
+    if (!new_process && info.state == UpstreamState::kGone) {
+      u->info.zone = place.zone;
+      u->info.cell = place.cell;
+    }
     u->listed = true;
     if (!(u->info.weight > 0)) u->info.weight = 1;
     // Sidecars that hear of it together must not all call it at once; but where each may send it a fraction
