--- a/tests/news_process_test.cpp
+++ b/tests/news_process_test.cpp
@@ -72,13 +72,6 @@
 
 // ---- Descriptors ----
 
-// The sanitizers open pipes for their checks, beside what the program holds.
-#ifdef __SANITIZE_ADDRESS__
-constexpr int kOfSanitizers = 16;
-#else
-constexpr int kOfSanitizers = 0;
-#endif
-
 // Clients that send nothing more, and upstreams that never answer, hold all that they may while discovery is down. The
 // system itself gives the program no more than the deployment says.
 TEST(Descriptors, DiscoveryIsFoundAgainWhileClientsHoldAllOfThem) {
@@ -91,7 +84,7 @@
     options.sockets = kLimit;
     std::unique_ptr<Node> node;
     {
-      const DescriptorLimit limit(kLimit + kOfSanitizers);
+      const DescriptorLimit limit(kLimit);
       node = std::make_unique<Node>(options);
     }
     ASSERT_TRUE(node->Listening());
