Hall: a sidecar is up once its door is, not once it listens for clients

Seen: Hall.SidecarsServeWhileOthersAreKilledStoppedAndStartedAnew failed in one whole test run: the status of a sidecar that had just been started anew was none. Cause: hall.cpp, Hall::Up waited for the line "listening on", which node/program.cpp writes before it opens the door; a call in between meets the socket file that the killed process left, and is refused. Ruled out: the door's bound on calls (a new process has its whole allowance), and a sidecar that ended (Up would have said so). Change: the hall waits for the door's own line, "admin on". No check is eased.

--- a/tests/standins/hall.cpp
+++ b/tests/standins/hall.cpp
@@ -363,7 +363,8 @@
   const bool up = Eventually([&] {
     ended = ::waitpid(process.pid, nullptr, WNOHANG) == process.pid;
     const std::string text = Log(process.name).substr(process.log_from);
-    return ended || text.find(process.agent ? "agent on " : "listening on ") != std::string::npos;
+    // A sidecar's door is the last that it opens: until then a call there meets what the process before has left.
+    return ended || text.find(process.agent ? "agent on " : "admin on ") != std::string::npos;
   });
   if (ended) process.pid = -1;
   return up && !ended;
