Transport: an answer without a length is kept whole up to 64 KiB, as one with a length is

One of 40 KiB with a length is kept whole and tried again. Cause: transport.cpp, OnHeader set the room to kMostWholeUntold, and OnRead started the answer as soon as that was full. Until it starts the attempt's time-out holds. An answer of 64 KiB sharp is whole now, too. Ruled out: waiting for the whole time of the attempt, which would keep a long answer's first bytes back. Measured: the test's table has 12 rows in two framings; with the transport as it was four rows differ, in both framings (long and whole, as long as is kept, long and broken, long and late).

--- a/http/transport.cpp
+++ b/http/transport.cpp
@@ -40,6 +40,9 @@
 // A body that its upstream does not take, and an answer that stops, for so long are given up.
 constexpr Duration kStalledWrite = std::chrono::seconds(5);
 constexpr Duration kSilentAnswer = std::chrono::seconds(15);
+// An answer that does not tell its length is kept whole like one that does, but no longer than this once it is no
+// small one: what has come of a long answer may not be kept from its client for 2 s.
+constexpr Duration kLongestHold = std::chrono::seconds(1);
 // No load is beyond this, whatever its unit.
 constexpr double kMostLoad = 1e6;
 
@@ -126,6 +129,7 @@
     id_ = id;
     message_ = std::move(message);
     written_ = started_ = abandoned_ = false;
+    hold_until_.reset();
     hooks_ = std::move(hooks);
     sent_ = Now();
     timeout_ = timeout;
@@ -227,6 +231,7 @@
       if (error || self->closed_ || self->phase_ == Phase::kIdle) return;
       // Guards against a timer that fired just before it was set anew.
       if (self->timer_.expiry() > std::chrono::steady_clock::now()) return;
+      if (self->hold_until_ && Now() < self->gives_up_) return self->HeldLong();
       self->End(Cause::kTimeout);
     });
   }
@@ -332,13 +337,28 @@
     if (status == 200 && (!written_ || !TellsItsEnd(*parser_))) return End(Cause::kBroken);
     const auto length = parser_->content_length();
     if (status == 200 && length && *length > kMostWhole) return StartAnswer();
-    if (status == 200 && !length) parser_->get().body().room = kMostWholeUntold;
-    ReadBody();
+    if (status != 200 || length) return ReadBody();
+    hold_until_ = Now() + kLongestHold;
+    ArmTimer(std::min(*hold_until_, gives_up_));
+    ReadMore();
+  }
+
+  // It is long by now, or may still end in its time, whole or as one that is tried again.
+  void HeldLong() {
+    if (parser_->get().body().bytes.size() >= kMostWholeUntold) return StartAnswer();
+    ArmTimer(gives_up_);
+  }
+
+  void Held(bool beyond_bound) {
+    const std::size_t size = parser_->get().body().bytes.size();
+    if (beyond_bound || (size >= kMostWholeUntold && Now() >= *hold_until_)) return StartAnswer();
+    ReadMore();
   }
 
   // A long answer is passed on as it comes: from here on it has no deadline but may not stop for long.
   void StartAnswer() {
     if (!hooks_.on_started) return End(Cause::kBroken);
+    hold_until_.reset();
     HttpResponse head;
     head.base() = parser_->get().base();
     ComingBody coming{std::make_shared<Stream>(owner_.budget_, 0), std::nullopt};
@@ -352,17 +372,20 @@
     DisarmTimer();
     started_ = true;
     hooks_.on_started(std::make_unique<HttpReply>(std::move(head), std::move(coming)));
+    if (reading_more_ && !closed_) return ArmTimer(Now() + kSilentAnswer);
     ReadMore();
   }
 
   void ReadMore() {
-    if (closed_ || reading_more_ || !answer_) return;
-    const std::size_t room = answer_->Room();
-    // The client takes its time.
-    if (room == 0) return DisarmTimer();
-    parser_->get().body().room = room;
+    if (closed_ || reading_more_ || (!answer_ && !hold_until_)) return;
+    if (answer_) {
+      const std::size_t room = answer_->Room();
+      // The client takes its time.
+      if (room == 0) return DisarmTimer();
+      parser_->get().body().room = room;
+      ArmTimer(Now() + kSilentAnswer);
+    }
     reading_more_ = true;
-    ArmTimer(Now() + kSilentAnswer);
     http::async_read_some(socket_, buffer_, *parser_,
                           [self = shared_from_this()](error_code error, std::size_t) {
                             if (!self->closed_) self->OnMore(error);
@@ -371,6 +394,10 @@
 
   void OnMore(error_code error) {
     if (error && error != http::error::need_buffer) return End(Cause::kBroken);
+    if (!answer_) {
+      reading_more_ = false;
+      return parser_->is_done() ? Served() : Held(error == http::error::need_buffer);
+    }
     const auto stream = answer_;  // whoever takes may end all of this
     stream->Append(parser_->get().body().bytes);
     if (closed_) return;
@@ -387,9 +414,8 @@
   }
 
   void OnRead(error_code error) {
-    const bool longer = error == http::error::need_buffer;
-    if (longer && parser_->get().result_int() == 200) return StartAnswer();
-    if (error && !longer) return End(Cause::kBroken);
+    // Of an answer that is no service the first of its body does.
+    if (error && error != http::error::need_buffer) return End(Cause::kBroken);
     Served();
   }
 
@@ -504,6 +530,7 @@
   bool written_ = false;              // its last byte
   bool abandoned_ = false;            // its request is over: it is not written any more
   bool started_ = false;              // the answer is passed on as it comes
+  std::optional<TimePoint> hold_until_;  // of an answer that does not tell its length and has not started
   bool pumping_ = false;
   bool waits_to_write_ = false;
   bool reading_more_ = false;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -1,6 +1,8 @@
 // The transport alone between a dispatcher that is a script and upstreams that are: what it writes, and what it tells
 // of an exchange, where two events cross.
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -9,6 +11,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <cstdio>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -69,6 +72,12 @@
   std::string heard_;
 };
 
+// Bytes written that the other side's system has not taken.
+int Unread(tcp::socket& socket) {
+  int bytes = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : -1;
+}
+
 class TransportTest : public ::testing::Test {
  protected:
   TransportTest() : descriptors(100), budget(1 << 20), transport(io, Limits(), false, descriptors, budget) {}
@@ -84,16 +93,20 @@
     transport.Apply(uid, Location{kestrellb::UpstreamState::kServing, *ParseEndpoint(address), 0});
   }
 
-  void Send(ExchangeId id, const std::string& uid, const std::string& target, std::string body = "") {
+  void Send(ExchangeId id, const std::string& uid, const std::string& target, std::string body = "",
+            Duration timeout = seconds(20)) {
     HttpRequest request(body.empty() ? http::verb::get : http::verb::post, target, 11);
     request.set("X-Request-ID", "r1");
     request.body() = std::move(body);
     request.prepare_payload();
     ExchangeHooks hooks;
     hooks.on_written = [this] { ++written; };
-    hooks.on_started = [](std::unique_ptr<Reply>) {};
-    hooks.on_end = [this](ExchangeResult result) { ended.push_back(result.outcome); };
-    transport.Send(id, uid, std::make_shared<HttpMessage>(std::move(request)), seconds(20), std::move(hooks));
+    hooks.on_started = [this](std::unique_ptr<Reply> reply) { started.push_back(std::move(reply)); };
+    hooks.on_end = [this](ExchangeResult result) {
+      ended.push_back(result.outcome);
+      if (result.reply) whole = static_cast<HttpReply&>(*result.reply).response.body();
+    };
+    transport.Send(id, uid, std::make_shared<HttpMessage>(std::move(request)), timeout, std::move(hooks));
   }
 
   // Runs the loop until `condition` holds; the test's own time-out is the other end.
@@ -106,6 +119,8 @@
   ByteBudget budget;
   HttpTransport transport;
   std::vector<Outcome> ended;
+  std::vector<std::unique_ptr<Reply>> started;  // answers whose bodies came as they came
+  std::string whole;                            // the last body that came whole
   int written = 0;
 };
 
@@ -191,6 +206,83 @@
   EXPECT_EQ(error, boost::asio::error::connection_reset);
 }
 
+// An answer that does not tell its length: what comes of it, and whether another attempt can still be made.
+TEST_F(TransportTest, AnAnswerWithoutALengthIsKeptWholeForAsLongAsItMayBe) {
+  constexpr std::size_t kKilo = 1024;
+  enum class Then { kEnds, kStops, kBreaks, kGoesOn };
+  struct Row {
+    const char* name;
+    std::size_t first;  // bytes that come at once
+    Then then;
+    std::size_t more;  // and later, of what goes on
+    int timeout_ms;
+    bool starts;  // its way to the client, before it is whole
+    std::optional<Outcome> outcome;
+  };
+  const Row rows[] = {
+      {"small and whole", kKilo, Then::kEnds, 0, 5000, false, Outcome::kServed},
+      {"long and whole", 40 * kKilo, Then::kEnds, 0, 5000, false, Outcome::kServed},
+      {"as long as is kept", 64 * kKilo, Then::kEnds, 0, 5000, false, Outcome::kServed},
+      {"longer", 64 * kKilo + 1, Then::kEnds, 0, 5000, true, Outcome::kServed},
+      {"small and broken", kKilo, Then::kBreaks, 0, 5000, false, Outcome::kReset},
+      {"long and broken", 40 * kKilo, Then::kBreaks, 0, 5000, false, Outcome::kReset},
+      {"longer and broken", 65 * kKilo, Then::kBreaks, 0, 5000, true, Outcome::kReset},
+      {"small and late", kKilo, Then::kStops, 0, 1300, false, Outcome::kTimeout},
+      {"long and late", 40 * kKilo, Then::kStops, 0, 500, false, Outcome::kTimeout},
+      {"long and slow", 40 * kKilo, Then::kStops, 0, 5000, true, std::nullopt},
+      {"grows in time", kKilo, Then::kGoesOn, 40 * kKilo, 5000, true, Outcome::kServed},
+      {"small for long", kKilo, Then::kGoesOn, kKilo, 5000, false, Outcome::kServed},
+  };
+  std::uint64_t id = 0;
+  for (const bool chunked : {true, false}) {
+    for (const Row& row : rows) {
+      SCOPED_TRACE(std::string(row.name) + (chunked ? ", in chunks" : ", to the connection's end"));
+      ended.clear(), started.clear(), whole.clear();
+      tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+      const std::string uid = "u" + std::to_string(++id);
+      Serving(uid, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+      Send(ExchangeId{id}, uid, "/page/x", "", milliseconds(row.timeout_ms));
+      tcp::socket upstream = acceptor.accept();
+      Until([&] { return upstream.available() > 0; });
+      const auto write = [&](std::size_t size, const std::string& before, const std::string& after) {
+        char head[32] = "";
+        if (chunked && size > 0) std::snprintf(head, sizeof head, "%zx\r\n", size);
+        boost::asio::write(upstream, boost::asio::buffer(before + head + std::string(size, 'x') +
+                                                         (chunked && size > 0 ? "\r\n" : "") + after));
+      };
+      const std::string last = chunked ? "0\r\n\r\n" : "";
+      const auto end = [&] { chunked ? upstream.close() : upstream.shutdown(tcp::socket::shutdown_send); };
+      write(row.first,
+            std::string("HTTP/1.1 200 OK\r\n") + (chunked ? "Transfer-Encoding: chunked" : "Connection: close") +
+                "\r\n\r\n",
+            row.then == Then::kEnds ? last : "");
+      if (row.then == Then::kEnds && !chunked) end();
+      if (row.then == Then::kBreaks) {
+        upstream.set_option(boost::asio::socket_base::linger(true, 0));
+        // What it wrote is delivered first: the reset would overtake it.
+        Until([&] { return Unread(upstream) == 0; });
+        io.poll();
+        upstream.close();
+      }
+      if (row.then == Then::kGoesOn) {
+        const TimePoint later = Now() + milliseconds(1200);  // beyond the longest hold
+        while (Now() < later) io.run_one_for(milliseconds(20));
+        EXPECT_TRUE(started.empty());
+        write(row.more, "", last);
+        if (!chunked) end();
+      }
+      Until([&] { return row.outcome ? !ended.empty() : !started.empty(); });
+      EXPECT_EQ(started.size(), row.starts ? 1U : 0U);
+      EXPECT_EQ(ended, row.outcome ? std::vector{*row.outcome} : std::vector<Outcome>{});
+      if (!row.starts && row.outcome == Outcome::kServed) {
+        EXPECT_EQ(whole.size(), row.first + row.more);
+      }
+      transport.Cancel(ExchangeId{id});
+      transport.Apply(uid, Location{kestrellb::UpstreamState::kGone, *ParseEndpoint("127.0.0.1:1"), 0});
+    }
+  }
+}
+
 TEST_F(TransportTest, WhatIsWrittenGoesOnWhenItIsAbandoned) {
   Late late(io);
   late.Open();
