Refusals: clients are told different times, however short the longest one is

Seen by reading: where the settings' MaxRetryAfter is under 1.5 s every refused client was told just that, so that all come back together; a deployment of ours has 200 ms. Cause: balancer.cpp, Finish drew from 1.5 to 3 s and cut that to the longest. Change: it draws from three quarters of the longest on, where that is less than 1.5 s. At 2 s (the operators' site) and above what is told is as it was, draw by draw.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -998,7 +998,8 @@
     if (r.ended) return;
     if (MayRefuse(r)) {
       const Duration most = settings_.limits.max_retry_after;
-      const Duration wait = std::min(Scaled(kRetryAfter, 1 + Uniform()), most);
+      // Clients must not come back in step, however short the longest advice is.
+      const Duration wait = std::min(Scaled(std::min(kRetryAfter, most * 3 / 4), 1 + Uniform()), most);
       Emit(Refuse{r.id, settings_.limits.retry_after ? wait : Duration::zero()});
     } else {
       Emit(Fail{r.id});
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -1,5 +1,6 @@
 // The mechanism: one small test for each thing that the design or a failure asks of it.
 #include <deque>
+#include <set>
 #include <stdexcept>
 
 #include "helpers.h"
@@ -211,6 +212,28 @@
   EXPECT_TRUE(w.Logged("returned a after its ejection"));
 }
 
+// Told the same, all refused clients would come back together. The operators' site allows 2 s, a deployment of ours
+// 200 ms.
+TEST(AllEjected, SpreadsWhenClientsComeBackWithinWhatTheSettingsAllow) {
+  for (const auto longest : {20ms, 200ms, 1500ms, 2000ms, 20000ms}) {
+    Settings settings = DefaultSettings();
+    settings.limits.max_retry_after = longest;
+    World w(settings);
+    w.List(1);
+    w.FailRun("a", 5);
+    std::set<Duration> told;
+    for (int i = 0; i < 40; ++i) {
+      const std::size_t refused = w.refused.size();
+      w.Arrive(kUnsafe);
+      ASSERT_EQ(w.refused.size(), refused + 1);
+      EXPECT_LE(w.last_retry_after, longest);
+      EXPECT_GE(w.last_retry_after, std::min<Duration>(longest * 3 / 4, 1500ms));
+      told.insert(w.last_retry_after);
+    }
+    EXPECT_GT(told.size(), 8U) << longest / 1ms;
+  }
+}
+
 TEST(HungUpstream, IsPassedOverBeforeFiveTimeouts) {
   World w;
   w.List(4);
