Tests: a connection that is up and its attempt's time-out, handled in one turn

The loop is held back until both are due, twenty times: one end, which says that nothing ran only where nothing arrived. Of a transport that told such a time-out as a failed connection it would fail.

--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -16,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "core/address.h"
@@ -171,6 +173,31 @@
   }
 }
 
+// The loop had no time meanwhile: both wait for it in one turn, and what is handled first decides for both.
+TEST_F(TransportTest, AConnectionThatIsUpAndATimeOutInOneTurnEndTheAttemptOnce) {
+  for (int i = 0; i < 20; ++i) {
+    tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    const std::string uid = "u" + std::to_string(i);
+    const Endpoint endpoint = acceptor.local_endpoint();
+    ended.clear();
+    written = 0;
+    Serving(uid, "127.0.0.1:" + std::to_string(endpoint.port()));
+    Send(ExchangeId{static_cast<std::uint64_t>(i + 1)}, uid, "/submit/x", "unsafe", milliseconds(2));
+    tcp::socket upstream = acceptor.accept();  // the system's doing, without the loop
+    std::this_thread::sleep_for(milliseconds(4));
+    Until([&] { return !ended.empty(); });
+    io.poll();
+    ASSERT_EQ(ended.size(), 1U);
+    // What the module takes for never run must not have gone out, nor what it takes for run have stayed here.
+    boost::system::error_code error;
+    std::string heard;
+    boost::asio::read(upstream, boost::asio::dynamic_buffer(heard), error);
+    const bool arrived = heard.find("unsafe") != std::string::npos;
+    EXPECT_EQ(ended[0], arrived ? Outcome::kTimeout : Outcome::kConnectFailed) << heard;
+    EXPECT_EQ(written, arrived ? 1 : 0);
+  }
+}
+
 // Its upstream reads nothing: the system has taken some of it, and not all.
 TEST_F(TransportTest, WhatIsAbandonedHalfWrittenNeverArrivesWhole) {
   tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
