Names: streaming, buffering, disconnects and eviction under the field's terms, no behaviour

Renamed in http/ and its tests: what is kept whole is buffered (kBufferLimit, kBufferingTimeout, kLeastStreamed), what is passed on as it comes streams (StartStreaming), time-outs without bytes are idle time-outs (kAnswerIdleTimeout, kWriteIdleTimeout), a first request has kRequestTimeout, clients disconnect (ClientDisconnected, CheckForDisconnects), and who is closed for another has an EvictionRank. No file of the operators and no byte on the wire changes.

--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -32,11 +32,11 @@
 constexpr auto kDrainSweep = milliseconds(10);
 // A client that has left is found this soon where nothing is read from it: an attempt that begins 0.1 s after
 // it left is one too many.
-constexpr Duration kLeaverSweep = milliseconds(25);
+constexpr Duration kDisconnectCheck = milliseconds(25);
 // A connection has so long, from its start, for its first whole request; a later request from its first byte
 // on; an answer to be taken. Not renewed by what trickles: the deployment wants silent and stalled clients
 // gone within 3 s of connecting.
-constexpr Duration kStalled = milliseconds(2500);
+constexpr Duration kRequestTimeout = milliseconds(2500);
 // Usual clients connect when they have a request: one that has said nothing by now, or not finished its
 // request by then, goes before those.
 constexpr Duration kSilent = seconds(1);
@@ -51,7 +51,7 @@
 // A body may come as slowly as this, bytes a second, and an answer be taken with pauses as long: usual clients on
 // bad lines. The system may hold much of an answer, which the client takes before any of ours moves on.
 constexpr std::int64_t kLeastRate = 16 * 1024;
-constexpr Duration kLongestPause = seconds(30);
+constexpr Duration kWriteIdleTimeout = seconds(30);
 // Clients go on opening connections for a moment after a planned stop began.
 constexpr Duration kAcceptWhileDraining = milliseconds(800);
 // A connection opened in that time is about to carry a request.
@@ -67,7 +67,7 @@
 }  // namespace
 
 // One client connection. A read is always pending while there is room, also while a request is being served:
-// that is how a client that leaves is noticed. Where there is none, a look every kLeaverSweep tells.
+// that is how a client that leaves is noticed. Where there is none, a look every kDisconnectCheck tells.
 //
 // kLingering: after a last answer, half-closed; what comes is read and dropped, since a close over unread
 // bytes resets the connection and may take the answer's end along. kHalfClosed: ended between requests;
@@ -111,7 +111,7 @@
   bool Idle() const { return state_ == State::kReading && !started_; }
 
   // More of a request has come, into the system's buffer, than was read. Closing would lose it.
-  bool RequestWaits() {
+  bool HasUnreadBytes() {
     if (state_ != State::kReading) return false;
     error_code error;
     return socket_.available(error) > 0 && !error;
@@ -140,14 +140,14 @@
   }
 
   // The client has closed its end, or all of the connection; also where bytes wait ahead of that.
-  bool ClientLeft() {
+  bool ClientDisconnected() {
     pollfd client{socket_.native_handle(), POLLRDHUP, 0};
     return ::poll(&client, 1, 0) == 1 && (client.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
   }
 
   // Which goes first when descriptors run out, the lowest number first; nothing where it must stay. Usual
   // clients' connections outlast those of clients that say nothing.
-  std::optional<int> Spare(TimePoint now) const {
+  std::optional<int> EvictionRank(TimePoint now) const {
     const Duration age = now - since_;
     if (state_ == State::kLingering || state_ == State::kHalfClosed) return 0;
     if (state_ != State::kReading) return std::nullopt;
@@ -164,7 +164,7 @@
     if (state_ != State::kReading) return CloseNow();
     if (!started_ && !unused_) return;
     // It may be the sidecar that had no time: what has come is read first.
-    if (RequestWaits() && !std::exchange(excused_, true)) return;
+    if (HasUnreadBytes() && !std::exchange(excused_, true)) return;
     if (started_) return Reject(http::status::request_timeout, "request did not come in time");
     Close();
   }
@@ -176,19 +176,19 @@
 
   // Counted from since_ on.
   Duration Patience(TimePoint now) const {
-    if (state_ == State::kLingering && cut_upload_) return kStalled;
+    if (state_ == State::kLingering && cut_upload_) return kRequestTimeout;
     if (state_ == State::kLingering || state_ == State::kHalfClosed) return kLinger;
-    if (state_ == State::kWriting) return writer_ ? kLongestPause : kStalled;
+    if (state_ == State::kWriting) return writer_ ? kWriteIdleTimeout : kRequestTimeout;
     const Duration blocked = blocked_ + (blocked_since_ ? now - *blocked_since_ : Duration::zero());
     const auto came = static_cast<std::int64_t>(came_);
-    return kStalled + blocked + Duration(came * Duration::period::den / kLeastRate);
+    return kRequestTimeout + blocked + Duration(came * Duration::period::den / kLeastRate);
   }
 
   void NewParser() {
     parser_.emplace();
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
-    parser_->get().body().room = kMostWhole;
+    parser_->get().body().room = kBufferLimit;
     came_ = 0;
     blocked_ = Duration::zero();
     blocked_since_.reset();
@@ -208,7 +208,7 @@
     const bool blocked = upload_ && upload_->Room() == 0;
     if (blocked && !blocked_since_) blocked_since_ = Now();
     if (blocked || buffer_.size() == buffer_.max_size() || (flooded_ && dropped_ > kMostLinger)) {
-      if (owner_ != nullptr) owner_->LookForLeavers();
+      if (owner_ != nullptr) owner_->CheckForDisconnects();
       return;
     }
     if (blocked_since_) blocked_ += Now() - *std::exchange(blocked_since_, std::nullopt);
@@ -395,7 +395,7 @@
                              : Plain(http::status::ok, "up"));
     }
     // It may have waited here for longer than its client did.
-    if (ClientLeft()) return Close();
+    if (ClientDisconnected()) return Close();
     auto reply = [self = shared_from_this()](HttpResponse response, ComingBody answer) {
       if (!answer) self->taken_ = {};
       if (!self->closed_) return self->Answer(std::move(response), std::move(answer));
@@ -566,13 +566,13 @@
     std::shared_ptr<Connection> best;
     std::pair<int, TimePoint> lowest;
     for (const auto& connection : connections_) {
-      const auto spare = connection->Spare(now);
+      const auto spare = connection->EvictionRank(now);
       if (!spare || busy.contains(connection.get())) continue;
       const std::pair rank(*spare, connection->since());
       if (!best || rank < lowest) best = connection, lowest = rank;
     }
     if (!best) return false;
-    if (best->RequestWaits()) {
+    if (best->HasUnreadBytes()) {
       busy.insert(best.get());
       continue;
     }
@@ -602,7 +602,7 @@
 
 void Listener::ScheduleSweep() {
   Duration after = sweep_every_;
-  if (unread_) after = std::min(after, kLeaverSweep);
+  if (unread_) after = std::min(after, kDisconnectCheck);
   if (resting()) after = std::min<Duration>(after, kDrainSweep);
   sweep_.expires_after(after);
   sweep_.async_wait([this](error_code error) {
@@ -616,7 +616,7 @@
   });
 }
 
-void Listener::LookForLeavers() {
+void Listener::CheckForDisconnects() {
   if (!std::exchange(unread_, true)) ScheduleSweep();
 }
 
@@ -633,19 +633,19 @@
   unread_ = false;
   for (const auto& connection : all) {
     const bool rests = resting() && connection->Idle() && !connection->Fresh(now);
-    if (rests && !connection->RequestWaits()) connection->HalfClose();
+    if (rests && !connection->HasUnreadBytes()) connection->HalfClose();
     connection->CloseIfOverdue(now);
     if (!connection->ReadsNothing()) continue;
-    if (connection->ClientLeft()) {
+    if (connection->ClientDisconnected()) {
       connection->Close();
     } else {
-      LookForLeavers();
+      CheckForDisconnects();
     }
   }
   // Without room for those that wait they are asked in until the others have had their time.
   const Duration drained = drained_ ? now - drain_started_ : Duration::zero();
   if (drained <= kAcceptWhileDraining || !acceptor_.is_open() || acceptor_.Close()) return;
-  if (drained > kAcceptWhileDraining + kStalled) acceptor_.Release();
+  if (drained > kAcceptWhileDraining + kRequestTimeout) acceptor_.Release();
 }
 
 }  // namespace mothrack
--- a/http/listener.h
+++ b/http/listener.h
@@ -63,7 +63,7 @@
   // Something came from a client.
   void Heard(TimePoint now);
   // A connection is served while nothing is read from it: only a look tells that its client has left.
-  void LookForLeavers();
+  void CheckForDisconnects();
 
   Descriptors& descriptors_;
   ByteBudget& budget_;
--- a/http/messages.h
+++ b/http/messages.h
@@ -88,9 +88,9 @@
 
 // Bodies up to this are kept whole on their way: what is sent again is all there, and an answer that breaks is
 // never begun. Longer ones pass through in pieces.
-constexpr std::size_t kMostWhole = 64 * 1024;
+constexpr std::size_t kBufferLimit = 64 * 1024;
 // An answer that does not tell its length may begin its way from this on: it may take long to grow further.
-constexpr std::size_t kMostWholeUntold = 16 * 1024;
+constexpr std::size_t kLeastStreamed = 16 * 1024;
 // No longer body is passed on at all.
 constexpr std::uint64_t kMostBody = 64 * 1024 * 1024;
 // A request's body that was passed on is kept until it is longer than this, to be sent again where nothing ran.
--- a/http/transport.cpp
+++ b/http/transport.cpp
@@ -38,11 +38,11 @@
 // Interim answers ahead of the one answer; more are no honest upstream's.
 constexpr int kMostInterim = 8;
 // A body that its upstream does not take, and an answer that stops, for so long are given up.
-constexpr Duration kStalledWrite = std::chrono::seconds(5);
-constexpr Duration kSilentAnswer = std::chrono::seconds(15);
+constexpr Duration kWriteIdleTimeout = std::chrono::seconds(5);
+constexpr Duration kAnswerIdleTimeout = std::chrono::seconds(15);
 // An answer that does not tell its length is kept whole like one that does, but no longer than this once it is no
 // small one: what has come of a long answer may not be kept from its client for 2 s.
-constexpr Duration kLongestHold = std::chrono::seconds(1);
+constexpr Duration kBufferingTimeout = std::chrono::seconds(1);
 // No load is beyond this, whatever its unit.
 constexpr double kMostLoad = 1e6;
 
@@ -129,7 +129,7 @@
     id_ = id;
     message_ = std::move(message);
     written_ = started_ = abandoned_ = false;
-    hold_until_.reset();
+    buffering_until_.reset();
     hooks_ = std::move(hooks);
     sent_ = Now();
     timeout_ = timeout;
@@ -231,7 +231,7 @@
       if (error || self->closed_ || self->phase_ == Phase::kIdle) return;
       // Guards against a timer that fired just before it was set anew.
       if (self->timer_.expiry() > std::chrono::steady_clock::now()) return;
-      if (self->hold_until_ && Now() < self->gives_up_) return self->HeldLong();
+      if (self->buffering_until_ && Now() < self->gives_up_) return self->BufferedForLong();
       self->End(Cause::kTimeout);
     });
   }
@@ -289,7 +289,7 @@
         if (arriving_) DisarmTimer();
         return;
       case BodyWriter::Progress::kSocketFull:
-        if (arriving_) ArmTimer(Now() + kStalledWrite);
+        if (arriving_) ArmTimer(Now() + kWriteIdleTimeout);
         waits_to_write_ = true;
         return socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
           self->waits_to_write_ = false;
@@ -315,7 +315,7 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMostBody);
-    parser_->get().body().room = kMostWhole;
+    parser_->get().body().room = kBufferLimit;
     parser_->header_limit(kMostHeader);
     // The header on its own first: Beast 1.74 forgets that the body is beyond the bound where the first of
     // the body comes along with the header, and would take all of it.
@@ -336,29 +336,29 @@
     // Nor does an upstream have an answer before it has the whole request.
     if (status == 200 && (!written_ || !TellsItsEnd(*parser_))) return End(Cause::kBroken);
     const auto length = parser_->content_length();
-    if (status == 200 && length && *length > kMostWhole) return StartAnswer();
+    if (status == 200 && length && *length > kBufferLimit) return StartStreaming();
     if (status != 200 || length) return ReadBody();
-    hold_until_ = Now() + kLongestHold;
-    ArmTimer(std::min(*hold_until_, gives_up_));
+    buffering_until_ = Now() + kBufferingTimeout;
+    ArmTimer(std::min(*buffering_until_, gives_up_));
     ReadMore();
   }
 
   // It is long by now, or may still end in its time, whole or as one that is tried again.
-  void HeldLong() {
-    if (parser_->get().body().bytes.size() >= kMostWholeUntold) return StartAnswer();
+  void BufferedForLong() {
+    if (parser_->get().body().bytes.size() >= kLeastStreamed) return StartStreaming();
     ArmTimer(gives_up_);
   }
 
-  void Held(bool beyond_bound) {
+  void Buffered(bool beyond_bound) {
     const std::size_t size = parser_->get().body().bytes.size();
-    if (beyond_bound || (size >= kMostWholeUntold && Now() >= *hold_until_)) return StartAnswer();
+    if (beyond_bound || (size >= kLeastStreamed && Now() >= *buffering_until_)) return StartStreaming();
     ReadMore();
   }
 
   // A long answer is passed on as it comes: from here on it has no deadline but may not stop for long.
-  void StartAnswer() {
+  void StartStreaming() {
     if (!hooks_.on_started) return End(Cause::kBroken);
-    hold_until_.reset();
+    buffering_until_.reset();
     HttpResponse head;
     head.base() = parser_->get().base();
     ComingBody coming{std::make_shared<Stream>(owner_.budget_, 0), std::nullopt};
@@ -372,18 +372,18 @@
     DisarmTimer();
     started_ = true;
     hooks_.on_started(std::make_unique<HttpReply>(std::move(head), std::move(coming)));
-    if (reading_more_ && !closed_) return ArmTimer(Now() + kSilentAnswer);
+    if (reading_more_ && !closed_) return ArmTimer(Now() + kAnswerIdleTimeout);
     ReadMore();
   }
 
   void ReadMore() {
-    if (closed_ || reading_more_ || (!answer_ && !hold_until_)) return;
+    if (closed_ || reading_more_ || (!answer_ && !buffering_until_)) return;
     if (answer_) {
       const std::size_t room = answer_->Room();
       // The client takes its time.
       if (room == 0) return DisarmTimer();
       parser_->get().body().room = room;
-      ArmTimer(Now() + kSilentAnswer);
+      ArmTimer(Now() + kAnswerIdleTimeout);
     }
     reading_more_ = true;
     http::async_read_some(socket_, buffer_, *parser_,
@@ -396,7 +396,7 @@
     if (error && error != http::error::need_buffer) return End(Cause::kBroken);
     if (!answer_) {
       reading_more_ = false;
-      return parser_->is_done() ? Served() : Held(error == http::error::need_buffer);
+      return parser_->is_done() ? Served() : Buffered(error == http::error::need_buffer);
     }
     const auto stream = answer_;  // whoever takes may end all of this
     stream->Append(parser_->get().body().bytes);
@@ -530,7 +530,7 @@
   bool written_ = false;              // its last byte
   bool abandoned_ = false;            // its request is over: it is not written any more
   bool started_ = false;              // the answer is passed on as it comes
-  std::optional<TimePoint> hold_until_;  // of an answer that does not tell its length and has not started
+  std::optional<TimePoint> buffering_until_;  // of an answer that does not tell its length and has not started
   bool pumping_ = false;
   bool waits_to_write_ = false;
   bool reading_more_ = false;
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -373,7 +373,7 @@
         Leave(client, way);
         ASSERT_TRUE(AllClosed());
         // One whose body still comes may have been begun, and is told to end.
-        ASSERT_LE(handed.size(), kind.body.size() > kMostWhole ? 1U : 0U);
+        ASSERT_LE(handed.size(), kind.body.size() > kBufferLimit ? 1U : 0U);
         for (const Handed& begun : handed) {
           EXPECT_TRUE(begun.gone);
           EXPECT_FALSE(begun.whole);
@@ -805,7 +805,7 @@
   const std::string sent = PostOfLength(8 << 20, 8 << 20);
   EXPECT_LT(SendAll(client, sent), sent.size());
   Settle();
-  EXPECT_LE(budget->held(), kMostWhole + ByteBudget::kMostWindow);
+  EXPECT_LE(budget->held(), kBufferLimit + ByteBudget::kMostWindow);
   const auto waits = system_.waits;
   Settle();
   EXPECT_LE(system_.waits - waits, 2U);
