Start: a signal that crosses it is handled by the event loop, not by the system

Reason: read, not seen in a play: node/program.cpp watched SIGTERM and SIGINT only once the whole program stood, after it had begun to listen. One that came in between ended the process by the system's own rule, over clients in the backlog.

Change: the signals are watched before there is a listening socket, and handled once the event loop runs. The stand-in for a sidecar can hold its log, so that it stops at the line that says it listens: that forces the crossing.

Measured: Start.ThatASignalCrosses... fails on the program before (no answer), and passes now.

--- a/node/program.cpp
+++ b/node/program.cpp
@@ -261,7 +261,10 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     boost::asio::io_context io(1);
+    // Before there is a listening socket: a signal that comes while the program starts must not end it over clients that
+    // wait in the backlog. It is handled once the event loop runs.
     boost::asio::signal_set reload(io, SIGHUP);
+    boost::asio::signal_set stop(io, SIGTERM, SIGINT);
     Program program(io, [&] { return Read(options.path, variable); }, options);
     const std::function<void()> reload_on_signal = [&] {
       reload.async_wait([&](const boost::system::error_code& error, int) {
@@ -271,7 +274,6 @@
       });
     };
     reload_on_signal();
-    boost::asio::signal_set stop(io, SIGTERM, SIGINT);
     stop.async_wait([&](const boost::system::error_code& error, int) {
       if (!error) program.Drain();
     });
--- a/tests/news_process_test.cpp
+++ b/tests/news_process_test.cpp
@@ -202,6 +202,40 @@
   EXPECT_EQ(Count(node.log(), "not taken"), 1U);
 }
 
+// ---- Told to end while it starts ----
+
+// It listens, and stops at the line that says so, since nobody reads its log; there a client connects, and the signal
+// comes. What the system has accepted is served all the same, and the planned stop follows.
+TEST(Start, ThatASignalCrossesServesThoseWhoWaitAndThenEnds) {
+  Upstream a(Upstream::Echo("a"));
+  for (const int signal : {SIGTERM, SIGINT}) {
+    Node::Options options = With("127.0.0.1:1", List({Target("u1", a.address())}));
+    boost::asio::io_context io;
+    tcp::endpoint place;
+    {
+      tcp::acceptor free(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+      place = free.local_endpoint();
+    }
+    options.listen = "127.0.0.1:" + std::to_string(place.port());
+    options.held_log = true;
+    Node node(options);
+    Wire wire(io);
+    ASSERT_TRUE(Eventually([&] {
+      boost::system::error_code error;
+      wire.socket.close(error);
+      wire.socket.connect(place, error);
+      return !error;
+    }));
+    ASSERT_TRUE(wire.Write(PostText("/submit/k", "t1", "x", 5000)));
+    node.Signal(signal);
+    node.ReadLog();
+    const auto response = wire.ReadResponse();
+    ASSERT_TRUE(response) << signal;
+    EXPECT_EQ(response->body(), "a /submit/k");
+    EXPECT_EQ(node.Wait(), 0);
+  }
+}
+
 // ---- Ready ----
 
 // Nothing of discovery is waited for, with a list from before or without, after a kill as at a first start.
--- a/tests/standins/peers.cpp
+++ b/tests/standins/peers.cpp
@@ -318,6 +318,11 @@
 
   int ends[2];
   if (::pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("pipe");
+  if (options.held_log) {
+    const int size = ::fcntl(ends[1], F_SETPIPE_SZ, 1);
+    const std::string full(static_cast<std::size_t>(std::max(size, 1)), '\n');
+    if (::write(ends[1], full.data(), full.size()) != size) throw std::runtime_error("pipe");
+  }
   pid_ = ::fork();
   if (pid_ == 0) {
     ::dup2(ends[1], 2);
@@ -325,7 +330,13 @@
     ::_exit(127);
   }
   ::close(ends[1]);
-  reading_ = std::thread([this, from = ends[0]] {
+  log_end_ = ends[0];
+  if (!options.held_log) ReadLog();
+}
+
+void Node::ReadLog() {
+  if (log_end_ < 0) return;
+  reading_ = std::thread([this, from = std::exchange(log_end_, -1)] {
     char bytes[4096];
     ssize_t size = 0;
     while ((size = ::read(from, bytes, sizeof bytes)) > 0) {
@@ -341,6 +352,7 @@
     ::kill(pid_, SIGKILL);
     Wait();
   }
+  if (log_end_ >= 0) ::close(log_end_);
   if (reading_.joinable()) reading_.join();
   std::filesystem::remove(config_path_);
   std::filesystem::remove(operator_path_);
@@ -385,7 +397,7 @@
     int status = 0;
     ::waitpid(pid_, &status, 0);
     status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-    reading_.join();
+    if (reading_.joinable()) reading_.join();
   }
   return *status_;
 }
--- a/tests/standins/peers.h
+++ b/tests/standins/peers.h
@@ -172,9 +172,11 @@
     int full_send = 0;    // of its datagrams, the system takes only every so manieth at the first try
     int few_sockets = 0;  // the system gives it no socket of this number or more
     bool lost_wakes = false;  // the system never tells it of a client that waits
+    bool held_log = false;    // its log takes no byte until ReadLog(): it stops at its first line
   };
   explicit Node(const Options& options);
   ~Node();
+  void ReadLog();    // of one whose log was held
   bool Listening();  // waits until it is
   std::uint16_t port() const { return port_; }
   void Signal(int number);
@@ -204,6 +206,7 @@
   std::string operator_path_;
   mutable std::mutex mutex_;
   std::string log_;
+  int log_end_ = -1;  // until it is read
   std::thread reading_;
 };
 
