Cold budgets: calls that nobody serves are no load, beyond the most that was served

At fault was ColdRate, src/balancer.cpp: half of what is asked for counted as what warm upstreams bear, however little of it was served.

Change: it counts up to the most that this sidecar served while half of the upstreams were warm, which fades over twice the cold time. One that has not seen that yet goes by what is asked for, as before: all of them new, it knows nothing better.

The two new rows fail without the change; the twelve others stay below 0.85.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -1053,8 +1053,11 @@
 
   // Calls a second that this sidecar may send it.
   double ColdRate(const Upstream& u) const {
+    // Calls that nobody serves are no load that warm ones bear, beyond the most that was served while there
+    // were such.
+    const double asked = knows_warm_ ? std::min(cold_asked_ / 2, cold_most_) : cold_asked_ / 2;
     const double usual =
-        std::max(cold_served_, cold_asked_ / 2) * u.info.weight / std::max(usual_weight_, u.info.weight);
+        std::max(cold_served_, asked) * u.info.weight / std::max(usual_weight_, u.info.weight);
     return settings_.rules.fall_multiple * kColdSafety * Warmth(u) * usual;
   }
 
@@ -1073,8 +1076,11 @@
     cold_asked_ += (static_cast<double>(arrivals_) / dt - cold_asked_) * cautious;
     cold_served_ += (static_cast<double>(served_) / dt - cold_served_) * cautious;
     arrivals_ = served_ = 0;
-    usual_weight_ =
-        std::max(ListedWeight(), usual_weight_ * (1 - dt / (2 * Seconds(settings_.rules.cold_time))));
+    const double fading = 1 - dt / (2 * Seconds(settings_.rules.cold_time));
+    cold_most_ = std::max(cold_served_, cold_most_ * fading);
+    const bool learnt = age >= 2 * Seconds(settings_.rules.fall_window);
+    knows_warm_ = knows_warm_ || (learnt && telling_weight_ > 0 && 2 * telling_weight_ >= serving_weight_);
+    usual_weight_ = std::max(ListedWeight(), usual_weight_ * fading);
   }
 
   // ---- Timers and small helpers ----
@@ -1174,6 +1180,8 @@
   double usual_rate_ = 0;         // requests taken a second, slowly changing; clients' repeats are among them
   double cold_asked_ = 0;         // the same as the budgets of cold upstreams go by it, learnt from nothing
   double cold_served_ = 0;        // answers served a second, likewise
+  double cold_most_ = 0;          // the most of these, slow to fall
+  bool knows_warm_ = false;       // it served for long enough while half of the upstreams were warm
   std::vector<Mean> usual_time_;  // microseconds, by class
   Mean usual_any_;
   Mean connecting_;        // how hard it is, 0 to 1
--- a/tests/cold_fleet_test.cpp
+++ b/tests/cold_fleet_test.cpp
@@ -23,6 +23,7 @@
   kWarmFull,     // warm ones say that they are full
   kWarmErrors,   // warm ones answer half of their calls with an error, at once
   kSurge,        // twice the calls
+  kCrowd,        // five times the calls
   kAllReplaced,  // all sidecars are replaced at once, and their clients come with what they had kept back
 };
 
@@ -144,7 +145,8 @@
       s.world->Finish(answer.sent, answer.outcome);
       Look(s);
     }
-    int arrivals = Uniform() < (trouble_ == Trouble::kSurge ? 2 : 1) * s.rate * InSeconds(kStep) ? 1 : 0;
+    const int times = trouble_ == Trouble::kSurge ? 2 : trouble_ == Trouble::kCrowd ? 5 : 1;
+    int arrivals = Uniform() < times * s.rate * InSeconds(kStep) ? 1 : 0;
     arrivals += static_cast<int>(std::erase_if(s.again, [this](TimePoint at) { return at <= now_; }));
     for (; arrivals > 0; --arrivals) {
       s.world->Arrive(Uniform() < 0.5 ? kSafe : kUnsafe);
@@ -252,7 +254,9 @@
         // Calls are pushed onto the cold ones after each sidecar could save some of its budget.
         Case{"FullAndAShortWindow", 30, 10, 1, 0.75, Trouble::kWarmFull, 8s, 3s, 0, 4, 0.13, 24s, 200ms},
         Case{"HalfAndTheWarmFail", 300, 40, 20, 0.75, Trouble::kWarmErrors, 6s, 4s},
-        Case{"HalfAndASurge", 300, 40, 20, 0.75, Trouble::kSurge, 8s, 6s}),
+        Case{"HalfAndASurge", 300, 40, 20, 0.75, Trouble::kSurge, 8s, 6s},
+        Case{"HalfAndACrowdToTheEnd", 300, 40, 20, 0.75, Trouble::kCrowd, 2s, 22s},
+        Case{"HalfAndACrowdToTheEnd30", 30, 10, 5, 0.75, Trouble::kCrowd, 2s, 22s}),
     [](const auto& row) { return std::string(row.param.name); });
 
 }  // namespace
