Aims that stretch with a request's own work, as the settings say

The settings may name AimStretch; it was read and checked, and no decision went by it, so a site that has it had its attempts given up, its further ones left out and its answers counted as late before they were.

Change: a request has an aim of its own: its class's, and so many times the work that it says it is, up to the class's deadline. Time-outs, further attempts, lateness and jams go by that. Where the setting or the work is missing nothing changes.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -410,20 +410,21 @@
     return std::clamp(known / (kKindPrior + u.slowness.samples), 1 / kMaxSlowness, kMaxSlowness);
   }
 
-  void LearnTime(Upstream& u, std::size_t cls, Outcome outcome, Duration elapsed) {
+  void LearnTime(Upstream& u, const Request& r, Outcome outcome, Duration elapsed) {
     const auto time = static_cast<double>(elapsed.count());
     if (ProvesNotRun(outcome) || outcome == Outcome::kError || outcome == Outcome::kReset) return;
     // What coldness explains is no slowness of its own: it passes.
     const double warm = time * Warmth(u);
-    const double ratio = std::min(warm / static_cast<double>(UsualTime(cls).count()), 2 * kMaxSlowness);
+    const double usual = static_cast<double>(UsualTime(r.cls_index).count());
+    const double ratio = std::min(warm / usual, 2 * kMaxSlowness);
     // Unanswered so far says that it takes at least as long, but where others are answered fast.
     if (outcome != Outcome::kServed && (ratio < Slowness(u) || !Loaded(u))) return;
     if (Warmth(u) < 1) cold_times_.Add(std::max(ratio / Slowness(u), 1 / kMaxSlowness), kOutcomeMemory);
     u.slowness.Add(ratio, kSlownessMemory);
     kind_slowness_[u.info.kind].Add(ratio, kUsualMemory);
     if (outcome != Outcome::kServed) return;
-    u.aim_share.Add(time / static_cast<double>(settings_.classes[cls].aim.count()), kSlownessMemory);
-    usual_time_[cls].Add(time, kUsualMemory);
+    u.aim_share.Add(time / static_cast<double>(r.aim.count()), kSlownessMemory);
+    usual_time_[r.cls_index].Add(time, kUsualMemory);
     usual_any_.Add(time, kUsualMemory);
   }
 
@@ -608,7 +609,7 @@
     // What may be repeated is given up at its aim: another upstream may have time for it, or it is worth
     // nothing. Where late answers have a worth, a second copy does that without losing the first.
     if (r.cls->late_worth > 0 && settings_.limits.second_copies) return left;
-    const TimePoint aim = r.arrived + r.cls->aim;
+    const TimePoint aim = r.arrived + r.aim;
     // Under overload also what may not be repeated: kept past its aim it is worth nothing and holds up the
     // rest.
     const bool give_up = r.cls->effect != Effect::kUnsafe || (r.cls->late_worth <= 0 && shed_ > kShedding);
@@ -649,7 +650,7 @@
       Upstream& u = *a.upstream;
       if (!a.held || !MayTake(u) || !MaySend(r, u)) continue;
       // Holds more than it serves within the aim: a call would be late and keep it jammed.
-      if (a.served > 0 && *a.held > a.served * kHoldFor * Seconds(r.cls->aim)) {
+      if (a.served > 0 && *a.held > a.served * kHoldFor * Seconds(r.aim)) {
         jammed = true;
         continue;
       }
@@ -746,6 +747,8 @@
     r.id = e.request;
     r.cls = &settings_.classes[cls];
     r.cls_index = cls;
+    const Duration stretch = Scaled(e.work.value_or(Duration::zero()), r.cls->aim_stretch);
+    r.aim = std::min(r.cls->aim + stretch, std::max(r.cls->aim, r.cls->deadline));
     r.arrived = now_;
     r.deadline = e.arriving ? TimePoint::max() : e.deadline;
     r.arriving = e.arriving;
@@ -790,7 +793,7 @@
   // after a proof that nothing ran. What can no longer be in time for any worth is not tried again either.
   bool WorthAnother(const Request& r) {
     if (r.attempts.empty()) return true;
-    if (r.cls->late_worth <= 0 && !r.arriving && now_ >= r.arrived + r.cls->aim) return false;
+    if (r.cls->late_worth <= 0 && !r.arriving && now_ >= r.arrived + r.aim) return false;
     const auto& last = r.attempts.back().outcome;
     if (last && ProvesNotRun(*last) && r.attempts.size() <= kFreeRepeats) return true;
     if (retry_budget_ < 1) return false;
@@ -868,7 +871,7 @@
     Release(*attempt);
     u.waiting_since = now_;
     CountLate(*r, u, Outcome::kServed, now_ - attempt->sent);
-    LearnTime(u, r->cls_index, Outcome::kServed, now_ - attempt->sent);
+    LearnTime(u, *r, Outcome::kServed, now_ - attempt->sent);
     for (std::size_t i = 0; i < r->attempts.size(); ++i) {
       if (i != static_cast<std::size_t>(e.attempt)) Cancel(*r, i);
     }
@@ -884,7 +887,7 @@
     Release(*attempt);
     if (!attempt->started) CountLate(*r, u, e.outcome, e.elapsed);
     LearnConnecting(u, *attempt, r->cls_index, e.outcome, e.elapsed);
-    if (!attempt->started) LearnTime(u, r->cls_index, e.outcome, e.elapsed);
+    if (!attempt->started) LearnTime(u, *r, e.outcome, e.elapsed);
     JudgeZone(*attempt, e.outcome);
     Judge(u, *attempt, e.outcome);
     if (e.outcome == Outcome::kServed) ++served_;
@@ -946,7 +949,7 @@
   void CountLate(const Request& r, const Upstream& u, Outcome outcome, Duration elapsed) {
     if (outcome != Outcome::kServed && outcome != Outcome::kTimeout && outcome != Outcome::kFull) return;
     if (outcome == Outcome::kTimeout && !Loaded(u)) return;
-    const bool late = outcome != Outcome::kServed || elapsed > Scaled(r.cls->aim, kLateFrom);
+    const bool late = outcome != Outcome::kServed || elapsed > Scaled(r.aim, kLateFrom);
     // Its being in time counts all the same: where the few that are let in all go to cold ones, nothing else
     // tells that the overload is over.
     if (late && !Telling(u) && 4 * telling_weight_ > serving_weight_) return;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -494,6 +494,29 @@
   EXPECT_EQ(run(40), 40u) << "7 s after the jam";
 }
 
+TEST(Aim, GrowsWithTheWorkOfACallAsFarAsItsDeadline) {
+  Settings s = DefaultSettings();
+  s.classes[0].aim_stretch = 2;
+  s.limits.second_copies = false;
+  const auto timeout = [&](std::optional<Duration> work) {
+    World w(s);
+    w.List(4);
+    RequestArrived e;
+    e.request = RequestId{1};
+    e.deadline = w.now + 2s;
+    e.work = work;
+    w.Do(e);
+    // Past the aim of 400 ms another attempt is worth nothing, unless it has grown.
+    w.Advance(500ms);
+    const Sent first = w.sent.front();
+    w.Finish(first, Outcome::kConnectFailed);
+    return std::pair(first.timeout, w.refused.empty());
+  };
+  EXPECT_EQ(timeout(std::nullopt), std::pair(Duration(400ms), false));
+  EXPECT_EQ(timeout(100ms), std::pair(Duration(600ms), true));
+  EXPECT_EQ(timeout(10s), std::pair(Duration(2s), true)) << "no call is worth waiting for beyond its deadline";
+}
+
 TEST(Discovery, ASubscriptionIsAskedForAndAskedAgainAfterAFailure) {
   Settings s = DefaultSettings();
   s.membership_on_request = true;
