--- /dev/null
+++ b/tests/demo_configures.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# The README's first command configures what it builds, in a tree of its own: demo_configures.sh SOURCE
+set -eu
+build=$(mktemp -d)
+trap 'rm -rf "$build"' EXIT
+options=$(sed -n 's/^cmake -B build-demo \(.*\) > .*$/\1/p' "$1/demo/run.sh")
+[ -n "$options" ] || { echo "demo/run.sh names no options of cmake any more" >&2; exit 1; }
+# shellcheck disable=SC2086  # a list
+cmake -S "$1" -B "$build" $options
