--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -1,6 +1,7 @@
 // The mechanism: one small test for each thing that the design or a failure asks of it.
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <stdexcept>
@@ -414,29 +415,40 @@
   EXPECT_LE(w.sent.size(), 500u + 150u + 10u + 50u) << "first tries, three tenths, the burst, and trials";
 }
 
-TEST(Overload, LateAnswersShedAShareOfTheCallsAndItGoesAgain) {
-  World w;
-  w.List(4);
-  std::deque<Sent> out;
-  const auto run = [&](int calls, Duration time) {
+// Unsafe calls, one each `gap`, whose attempts end `time` after they were sent, as `outcome` says.
+struct Load {
+  // How many of them were taken.
+  std::size_t Run(int calls, Duration gap, Duration time,
+                  const std::function<Outcome(const Sent&)>& outcome = [](const Sent&) { return Outcome::kServed; }) {
     std::size_t taken = 0;
     for (int i = 0; i < calls; ++i) {
       const std::size_t before = w.sent.size();
       w.Arrive(kUnsafe);
       taken += w.sent.size() - before;
       for (std::size_t k = before; k < w.sent.size(); ++k) out.push_back(w.sent[k]);
-      w.Advance(10ms);
+      w.Advance(gap);
       while (!out.empty() && w.now - out.front().at >= time) {
-        w.Finish(out.front(), Outcome::kServed);
+        const Outcome end = outcome(out.front());
+        w.Finish(out.front(), end, end != Outcome::kServed);
         out.pop_front();
       }
     }
     return taken;
-  };
+  }
+
+  World& w;
+  std::deque<Sent> out{};
+};
+
+TEST(Overload, LateAnswersShedAShareOfTheCallsAndItGoesAgain) {
+  World w;
+  w.List(4);
+  Load load{w};
+  const auto run = [&load](int calls, Duration time) { return load.Run(calls, 10ms, time); };
   EXPECT_EQ(run(300, 100ms), 300u);
   run(300, 390ms);  // the aim is 400 ms
   EXPECT_TRUE(w.Logged("refusing: overload"));
-  EXPECT_LT(out.size(), 30u);
+  EXPECT_LT(load.out.size(), 30u);
   run(600, 50ms);
   EXPECT_EQ(run(100, 50ms), 100u);
   EXPECT_TRUE(w.Logged("taking calls again"));
@@ -454,25 +466,14 @@
     list.back().zone = id;  // so that none is taken for lost
   }
   w.Full(list);
-  std::deque<Sent> out;
+  Load load{w};
   int jam = 0;  // in one: of so many answers of a warm upstream one comes, late, the others not at all
   std::map<std::string, int> answers;
   const auto run = [&](int calls) {
-    std::size_t taken = 0;
-    for (int i = 0; i < calls; ++i) {
-      const std::size_t before = w.sent.size();
-      w.Arrive(kUnsafe);
-      taken += w.sent.size() - before;
-      for (std::size_t k = before; k < w.sent.size(); ++k) out.push_back(w.sent[k]);
-      w.Advance(50ms);
-      std::erase_if(out, [&](const Sent& sent) {
-        if (w.now - sent.at < (jam > 0 ? 390ms : 50ms)) return false;
-        const bool times_out = jam > 0 && sent.upstream < "x" && ++answers[sent.upstream] % jam != 0;
-        w.Finish(sent, times_out ? Outcome::kTimeout : Outcome::kServed, times_out);
-        return true;
-      });
-    }
-    return taken;
+    return load.Run(calls, 50ms, jam > 0 ? 390ms : 50ms, [&](const Sent& sent) {
+      const bool times_out = jam > 0 && sent.upstream < "x" && ++answers[sent.upstream] % jam != 0;
+      return times_out ? Outcome::kTimeout : Outcome::kServed;
+    });
   };
   EXPECT_EQ(run(500), 500u);
   for (const char* id : {"x", "y"}) {
