Review case 2: slowly read request bodies take the sidecar over its memory limit

Cause: the budget for bodies counts only what stands in streams; the parser's and the read-ahead buffers of each upload are bounded by the descriptors alone.

Nothing of the program is changed.

--- a/review/1/late_copy.cpp
+++ b/review/1/late_copy.cpp
@@ -138,9 +138,9 @@
   ::signal(SIGPIPE, SIG_IGN);
   Record record(argv[2]);
   Shared shared{record, std::string(argv[4]) != "0", {}, {}, {}, {}, {}, {}};
+  std::vector<const Server*> servers(kUpstreams, nullptr);
   std::vector<std::unique_ptr<Server>> upstreams;
   std::vector<std::unique_ptr<Link>> links;
-  std::vector<const Server*> servers(kUpstreams, nullptr);
   std::string targets;
   for (int i = 0; i < kUpstreams; ++i) {
     const std::string uid = "s-" + std::to_string(i);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -45,13 +45,13 @@
 
 // The text of LB_CONFIG. `known`: the elements of the list that the sidecar had.
 inline std::string Config(const std::string& listen, const std::string& discovery,
-                          const std::string& settings, const std::string& known,
-                          const std::string& ops = "") {
+                          const std::string& settings, const std::string& known, const std::string& ops = "",
+                          int memory_mb = 192, int sockets = 1024) {
   return "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery + "\"," +
          (ops.empty() ? "" : "\"ops\":\"" + ops + "\",") +
-         "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
-         "\"known\":{\"rev\":0,\"all\":true,\"targets\":[" +
-         known + "]},\"settings\":" + settings + "}";
+         "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" +
+         std::to_string(memory_mb) + ",\"sockets\":" + std::to_string(sockets) +
+         "},\"known\":{\"rev\":0,\"all\":true,\"targets\":[" + known + "]},\"settings\":" + settings + "}";
 }
 
 inline std::string RequestText(const ClassOfWork& of, const std::string& id, int key, int timeout_ms,
