--- a/review/2/slow_uploads.cpp
+++ b/review/3/slow_uploads.cpp
@@ -1,4 +1,4 @@
-// Case 2: long request bodies that upstreams read slowly take the sidecar over its memory limit.
+// Case 3: long request bodies that upstreams read slowly take the sidecar over its memory limit.
 //
 // slow_uploads ROOT RECORD DIRECTORY TROUBLE; exits with 1 if the rule was broken, 0 if it held, 2 if it
 // could not run.
