--- a/review/1/stalled_uploads.cpp
+++ b/review/1/stalled_uploads.cpp
@@ -1,5 +1,5 @@
-// Case 1: clients that stop in the middle of a request and stay take all of the sidecar's client descriptors; the
-// application's requests are not answered any more.
+// Case 1: clients that stop in the middle of a request and stay take all of the sidecar's client descriptors;
+// the application's requests are not answered any more.
 //
 // stalled_uploads ROOT RECORD DIRECTORY TROUBLE; exits with 1 if the rule was broken, 0 if it held, 2 if it
 // could not run.
