--- a/review/1/stalled_uploads.cpp
+++ b/review/1/stalled_uploads.cpp
@@ -12,13 +12,13 @@
 using namespace review;
 
 constexpr int kMemoryMb = 64;  // the pages say 32 to 192
-constexpr int kSockets = 512;  // the pages say 256 to 1,024
+constexpr int kSockets = 384;  // the pages say 256 to 1,024
 constexpr int kUpstreams = 8;
 constexpr int kClients = 40;
 constexpr double kRequestsPerSecond = 160;
-constexpr double kSeconds = 60;
+constexpr double kSeconds = 46;
 constexpr double kBadFrom = 3;
-constexpr double kBadUntil = 52;
+constexpr double kBadUntil = 38;
 constexpr double kBadPerSecond = 6;  // owed an end within 3 s (6 s with 60 MB): 36 at once at most
 constexpr double kOwedS = 6;
 constexpr std::size_t kAnnounced = 60U * 1024 * 1024;
@@ -56,7 +56,7 @@
 struct Counts {
   std::atomic<int> sent{0}, served{0}, refused{0}, failed{0}, closed{0}, lost{0}, no_connection{0},
       foreign{0};
-  std::atomic<int> bad{0}, bad_ended_in_time{0}, bad_open{0}, bad_open_most{0};
+  std::atomic<int> bad{0}, bad_ended_in_time{0}, bad_open_most{0};
 };
 
 // One of the application's connections. If it ends with a request on it that got no answer, the request is
@@ -99,36 +99,71 @@
 }
 
 // A bad client: half a request at full speed, then it stays until it is ended.
-void RunBadClient(Shared& shared, Counts& counts, std::uint16_t port, int number, double until) {
-  Conn conn(ConnectTo(port));
-  if (!conn.open()) return;
-  const double begun = Now();
-  ++counts.bad;
-  const int open = ++counts.bad_open;
-  for (int most = counts.bad_open_most;
-       open > most && !counts.bad_open_most.compare_exchange_weak(most, open);) {
-  }
-  std::mt19937_64 random(static_cast<std::uint64_t>(number) + 99);
-  const std::string id = RandomId(random);
-  const std::string text = "POST /tally-submit/s-1 HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: " + id +
-                           "\r\nX-Timeout-Ms: 4000\r\nContent-Length: " + std::to_string(kAnnounced) +
-                           "\r\n\r\n" + std::string(kSentPart, 'z');
-  bool ended = false;
-  for (std::size_t at = 0; !ended && at < text.size() && Now() < until;) {
-    pollfd wait{conn.fd(), POLLOUT | POLLIN, 0};
-    if (::poll(&wait, 1, 100) <= 0) continue;
-    if ((wait.revents & (POLLIN | POLLERR | POLLHUP)) != 0) ended = true;
-    const ssize_t size = ::send(conn.fd(), text.data() + at, std::min<std::size_t>(text.size() - at, 65536),
+struct BadClient {
+  std::unique_ptr<Conn> conn;
+  int number = 0;
+  std::string id;
+  double begun = 0;
+  std::size_t written = 0;
+  bool stopped = false;  // it has sent its half
+};
+
+std::string HalfOfARequest(const std::string& id) {
+  return "POST /tally-submit/s-1 HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: " + id +
+         "\r\nX-Timeout-Ms: 4000\r\nContent-Length: " + std::to_string(kAnnounced) + "\r\n\r\n" +
+         std::string(kSentPart, 'z');
+}
+
+// Sends what the socket takes. Returns false once the sidecar has answered or closed.
+bool Continue(Shared& shared, BadClient& client) {
+  if (Readable(client.conn->fd(), 0)) return false;
+  if (client.stopped) return true;
+  const std::string text = HalfOfARequest(client.id);
+  while (client.written < text.size()) {
+    const ssize_t size = ::send(client.conn->fd(), text.data() + client.written, text.size() - client.written,
                                 MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (size < 0 && errno != EAGAIN) ended = true;
-    if (size > 0) at += static_cast<std::size_t>(size);
+    if (size < 0) return errno == EAGAIN;
+    client.written += static_cast<std::size_t>(size);
   }
-  shared.record.Line("bad client %d has sent its half of %s", number, id.c_str());
-  while (!ended && Now() < until) ended = Readable(conn.fd(), 100);
-  if (ended && Now() - begun <= kOwedS) ++counts.bad_ended_in_time;
-  shared.record.Line("bad client %d: %s after %.1f s", number, ended ? "ended" : "still not ended",
-                     Now() - begun);
-  --counts.bad_open;
+  shared.record.Line("bad client %d has sent its half of %s", client.number, client.id.c_str());
+  client.stopped = true;
+  return true;
+}
+
+void RunBadClients(Shared& shared, Counts& counts, std::uint16_t port, double begin, double until) {
+  std::mt19937_64 random(99);
+  std::vector<BadClient> clients;
+  const auto end = [&](BadClient& client, const char* how) {
+    const double stayed = Now() - client.begun;
+    if (stayed <= kOwedS) ++counts.bad_ended_in_time;
+    shared.record.Line("bad client %d: %s after %.1f s", client.number, how, stayed);
+  };
+  while (Now() < until) {
+    const double due = begin + kBadFrom + counts.bad / kBadPerSecond;
+    if (Now() >= due && due < begin + kBadUntil) {
+      BadClient client;
+      client.conn = std::make_unique<Conn>(ConnectTo(port));
+      client.number = counts.bad++;
+      client.id = RandomId(random);
+      client.begun = Now();
+      if (client.conn->open()) clients.push_back(std::move(client));
+      counts.bad_open_most = std::max(counts.bad_open_most.load(), static_cast<int>(clients.size()));
+      if (counts.bad % 12 == 0) {
+        shared.record.Line("bad clients: %d so far, %zu not ended; requests lost so far: %d",
+                           counts.bad.load(), clients.size(), counts.lost.load());
+      }
+    }
+    for (std::size_t i = 0; i < clients.size();) {
+      if (Continue(shared, clients[i])) {
+        ++i;
+        continue;
+      }
+      end(clients[i], "ended");
+      clients.erase(clients.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    SleepMs(20);
+  }
+  for (BadClient& client : clients) end(client, "still not ended");
 }
 
 }  // namespace
@@ -172,13 +207,8 @@
   for (int i = 0; i < kClients; ++i) {
     threads.emplace_back(RunClient, std::ref(shared), std::ref(counts), port, i, begin + kSeconds);
   }
-  for (int i = 0; shared.trouble && i < static_cast<int>((kBadUntil - kBadFrom) * kBadPerSecond); ++i) {
-    SleepMs((begin + kBadFrom + i / kBadPerSecond - Now()) * 1000);
-    threads.emplace_back(RunBadClient, std::ref(shared), std::ref(counts), port, i, begin + kSeconds);
-    if (i % 12 == 0) {
-      record.Line("bad clients: %d connected so far, %d not ended; requests lost so far: %d",
-                  counts.bad.load(), counts.bad_open.load(), counts.lost.load());
-    }
+  if (shared.trouble) {
+    threads.emplace_back(RunBadClients, std::ref(shared), std::ref(counts), port, begin, begin + kSeconds);
   }
   for (auto& thread : threads) thread.join();
   const bool crashed = !sidecar.running();
