A request body's limit is on silence and on its pace from now on

Cause: ClientConnection::Timeout() gave 1 s for each 16 KiB received since the body's beginning, so bytes that came fast bought silence: 2 MB bought 128 s. Nothing else ended the connection: the upstream's timer is off while a body is awaited, and a connection being served is never evicted.

Change: BodyDeadline, a bucket of 2.5 s that body bytes refill at 16 KiB a second and never beyond 2.5 s. The rest of a body that is discarded after an early answer has the same limit; each byte renewed it in full before. Unread bytes of an upload are read before it counts as overdue, as those of other requests were.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -38,7 +38,8 @@
       slot_(std::in_place, descriptors, runtime::Descriptors::Side::kClient),
       socket_(std::move(socket)),
       writer_(socket_, *this),
-      linger_(socket_) {
+      linger_(socket_),
+      body_deadline_(kRequestTimeout, kMinBodyRate) {
   AwaitRequest();
 }
 
@@ -52,11 +53,15 @@
   slot_.reset();
   const auto self = shared_from_this();
   if (owner_ != nullptr) owner_->Remove(self);
-  // Notify the observer first: it ends the attempts, so that none of them still reads from `upload_` when the
-  // stream ends.
+  EndRequest();
+  writer_.AbandonBody();
+}
+
+// Notifies the observer first: it ends the attempts, so that none of them still reads from `upload_` when the
+// stream ends.
+void ClientConnection::EndRequest() {
   if (const auto on_disconnect = std::exchange(observer_, {}).on_disconnect) on_disconnect();
   if (const auto upload = std::exchange(upload_, nullptr)) upload->End(runtime::Stream::State::kTruncated);
-  writer_.AbandonBody();
 }
 
 void ClientConnection::Orphan() {
@@ -77,24 +82,29 @@
 }
 
 void ClientConnection::CloseIfOverdue(runtime::TimePoint now) {
-  if (closed_ || (phase_ == Phase::kServing && !upload_) || now - since_ <= Timeout(now)) return;
-  if (phase_ != Phase::kReading) return CloseNow();
-  if (!reader_.started() && !unused_) return;
+  if (closed_ || !IsOverdue(now)) return;
+  if (phase_ != Phase::kReading && phase_ != Phase::kServing) return CloseNow();
   // The sidecar itself may have been too busy to read, so bytes that have already arrived are read first.
   if (HasUnreadBytes() && !std::exchange(extension_granted_, true)) return;
-  if (reader_.started()) {
-    return Reject(beast_http::status::request_timeout, "request did not come in time");
-  }
-  Close();
+  if (!reader_.started()) return Close();
+  EndRequest();
+  Reject(beast_http::status::request_timeout, "request did not come in time");
 }
 
-runtime::Duration ClientConnection::Timeout(runtime::TimePoint now) const {
-  if (phase_ == Phase::kLingering && upload_interrupted_) return kRequestTimeout;
-  if (AwaitsClose()) return kLingerTimeout;
-  if (phase_ == Phase::kWriting) return writer_.streaming() ? kWriteIdleTimeout : kRequestTimeout;
-  const auto body_bytes = static_cast<std::int64_t>(reader_.body_bytes());
-  return kRequestTimeout + upload_stall_.Total(now) +
-         runtime::Duration(body_bytes * runtime::Duration::period::den / kMinBodyRate);
+bool ClientConnection::IsOverdue(runtime::TimePoint now) const {
+  switch (phase_) {
+    case Phase::kReading:
+      return (reader_.started() || unused_) && body_deadline_.Overdue(now);
+    case Phase::kServing:
+      return upload_ && body_deadline_.Overdue(now);
+    case Phase::kWriting:
+      return now - since_ > (writer_.streaming() ? kWriteIdleTimeout : kRequestTimeout);
+    case Phase::kLingering:
+      return upload_interrupted_ ? body_deadline_.Overdue(now) : now - since_ > kLingerTimeout;
+    case Phase::kHalfClosed:
+      return now - since_ > kLingerTimeout;
+  }
+  return false;
 }
 
 // ---- Queries of the owner ----
@@ -109,7 +119,7 @@
 }
 
 bool ClientConnection::HasUnreadBytes() {
-  if (phase_ != Phase::kReading) return false;
+  if (phase_ != Phase::kReading && !upload_) return false;
   error_code error;
   return socket_.available(error) > 0 && !error;
 }
@@ -130,9 +140,9 @@
 
 void ClientConnection::AwaitRequest() {
   reader_.BeginNextRequest();
-  upload_stall_.Reset();
   extension_granted_ = false;
   since_ = runtime::Now();
+  body_deadline_.Begin(since_);
   owner_->OnAwaitingRequest(since_);
 }
 
@@ -142,13 +152,13 @@
   if (reading_ || closed_) return;
   // Whether the upstream consumes the body more slowly than it arrives.
   const bool stalled = upload_ && upload_->Capacity() == 0;
-  if (stalled && !upload_stall_.stalled()) upload_stall_.Stall(runtime::Now());
+  if (stalled) body_deadline_.Pause(runtime::Now());
   const bool buffer_full = reader_.buffer().size() == reader_.buffer().max_size();
   if (stalled || buffer_full || (pipeline_overflowed_ && linger_.discarded_bytes() > kMaxLingerBytes)) {
     owner_->CheckForDisconnects();
     return;
   }
-  if (upload_stall_.stalled()) upload_stall_.Resume(runtime::Now());
+  if (upload_) body_deadline_.Resume(runtime::Now());
   reading_ = true;
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
     self->reading_ = false;
@@ -182,7 +192,7 @@
 void ClientConnection::Progress() {
   if (parsing_ || closed_) return;
   if (phase_ == Phase::kLingering || pipeline_overflowed_) {
-    if (upload_interrupted_ && reader_.buffer().size() > 0) since_ = runtime::Now();
+    if (upload_interrupted_) OnBodyBytes(reader_.buffer().size());
     DiscardBuffered();
     const std::size_t limit = upload_interrupted_ ? kMaxBodySize : kMaxLingerBytes;
     if (phase_ == Phase::kLingering && linger_.discarded_bytes() > limit) return Close();
@@ -222,9 +232,14 @@
   if (!reader_.started()) {
     reader_.set_started();
     // The timeout of the first request counts from the start of the connection.
-    if (!std::exchange(unused_, false)) since_ = runtime::Now();
+    if (!std::exchange(unused_, false)) {
+      since_ = runtime::Now();
+      body_deadline_.Begin(since_);
+    }
   }
+  const bool in_body = reader_.in_body();
   const RequestReader::Step step = reader_.Advance();
+  if (in_body) OnBodyBytes(step.consumed);
   if (upload_) return ContinueUpload(step);
   if (step.result == RequestReader::Step::Result::kInvalid) {
     Reject(step.status, step.reason);
@@ -242,6 +257,14 @@
   return step.consumed > 0;
 }
 
+void ClientConnection::OnBodyBytes(std::size_t bytes) {
+  if (bytes == 0) return;
+  const auto now = runtime::Now();
+  body_deadline_.OnBodyBytes(bytes, now);
+  // The extension is for a delay of the sidecar itself, which may happen again in a long body.
+  if (!body_deadline_.Overdue(now)) extension_granted_ = false;
+}
+
 // Returns false if the request is rejected because of its head.
 bool ClientConnection::AcceptHead() {
   if (const char* error = FindFramingError(reader_.head())) {
@@ -364,6 +387,7 @@
   if (close_after_) {
     phase_ = Phase::kLingering;
     since_ = runtime::Now();
+    body_deadline_.Begin(since_);
     linger_.Begin();
   } else {
     phase_ = Phase::kReading;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -18,22 +18,23 @@
 #include <optional>
 #include <string>
 
+#include "http/body_deadline.h"
 #include "http/eviction_policy.h"
 #include "http/lingering_close.h"
 #include "http/messages.h"
 #include "http/request_handler.h"
 #include "http/request_reader.h"
 #include "http/response_writer.h"
-#include "http/stall_timer.h"
 #include "runtime/clock.h"
 #include "runtime/descriptors.h"
 #include "runtime/stream.h"
 
 namespace mothrack::http {
 
-// Time limit for three phases: for the first complete request, from the start of the connection; for a later
-// request, from its first byte; and for writing a response. Trickling bytes does not renew it, because the
-// deployment requires that silent and stalled clients are disconnected within 3 s of connecting.
+// Time limit for three phases: for the head of the first request, from the start of the connection; for that
+// of a later request, from its first byte; and for writing a response. Trickling bytes does not renew it,
+// because the deployment requires that silent and stalled clients are disconnected within 3 s of connecting.
+// It is also the longest silence in a request body, see BodyDeadline.
 inline constexpr runtime::Duration kRequestTimeout = std::chrono::milliseconds(2500);
 // How long to wait for the client's close after the sidecar's half-close. Closing at once could send an RST
 // that overtakes the response. The time is short because a planned stop waits for it too.
@@ -93,7 +94,7 @@
   bool AwaitsClose() const { return phase_ == Phase::kLingering || phase_ == Phase::kHalfClosed; }
   // Whether no read is pending, so that the event loop does not report a disconnect of the client.
   bool ReadsNothing() const;
-  // Whether the kernel's receive buffer holds request bytes that were not read. Closing now would lose them.
+  // Whether the kernel's receive buffer holds bytes of an incomplete request. Closing now would lose them.
   bool HasUnreadBytes();
   // Whether the client has half-closed or closed the connection, even if unread bytes precede the close.
   bool ClientDisconnected();
@@ -138,8 +139,11 @@
   void OnWriteFailed() override { Close(); }
   std::shared_ptr<ResponseWriter> shared_writer() override { return {shared_from_this(), &writer_}; }
 
-  // Maximum duration of the current phase, counted from since().
-  runtime::Duration Timeout(runtime::TimePoint now) const;
+  // Whether the current phase has lasted longer than it may.
+  bool IsOverdue(runtime::TimePoint now) const;
+  // Ends the attempts of the current request and its body, if that is still arriving.
+  void EndRequest();
+  void OnBodyBytes(std::size_t bytes);
 
   Owner* owner_;  // null once the owner is destroyed; the connection is closed then
   runtime::ByteBudget& budget_;
@@ -151,8 +155,9 @@
   RequestObserver observer_;  // its functions notify the handler of the current request
   // The body, still arriving, of a request that was already passed to the handler; null otherwise.
   std::shared_ptr<runtime::Stream> upload_;
-  // Measures how long reading was paused because the upload was not consumed.
-  StallTimer upload_stall_;
+  // Of the current request, and of the rest of its body after the response was sent. Paused while nothing is
+  // read because the upload is not consumed.
+  BodyDeadline body_deadline_;
   Phase phase_ = Phase::kReading;
   runtime::TimePoint since_;
   unsigned http_version_ = 11;       // of the current request
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -24,7 +24,6 @@
   parser_->body_limit(kMaxBodySize);
   parser_->header_limit(kMaxHeaderSize);
   set_chunk_capacity(kBufferLimit);
-  body_bytes_ = 0;
   started_ = false;
   head_reported_ = false;
   head_scanned_ = 0;
@@ -47,7 +46,6 @@
   error_code error;
   const std::size_t used = parser_->put(buffer_.data(), error);
   buffer_.consume(used);
-  if (parser_->is_header_done()) body_bytes_ += used;
   if (error == beast_http::error::need_buffer) return {Step::Result::kBodyBlocked, used, {}, {}};
   if (error == beast_http::error::body_limit) {
     return Invalid(beast_http::status::payload_too_large, "body too large");
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -51,8 +51,8 @@
   bool TakeHeadCompleted();
   // Whether the current request has been parsed completely, including its body.
   bool complete() const { return parser_->is_done(); }
-  // Bytes of the current request's body parsed so far.
-  std::uint64_t body_bytes() const { return body_bytes_; }
+  // Whether the head of the current request is parsed, so that what follows is its body.
+  bool in_body() const { return parser_->is_header_done(); }
   // From Content-Length; absent if the body is chunked.
   std::optional<std::uint64_t> content_length() const;
   const beast_http::request_header<>& head() const { return parser_->get(); }
@@ -76,7 +76,6 @@
   bool started_ = false;
   bool head_reported_ = false;
   std::size_t head_scanned_ = 0;  // number of bytes of an incomplete head that were already inspected
-  std::uint64_t body_bytes_ = 0;
 };
 
 }  // namespace mothrack::http
