--- a/src/admin/report.cpp
+++ b/src/admin/report.cpp
@@ -70,10 +70,14 @@
       .count();
 }
 
-json ProcessReport(std::size_t max_descriptors) {
+std::int64_t ResidentBytes() {
   std::int64_t pages = 0;
   std::int64_t resident = 0;
   std::ifstream("/proc/self/statm") >> pages >> resident;
+  return resident * ::sysconf(_SC_PAGESIZE);
+}
+
+json ProcessReport(std::size_t max_descriptors) {
   std::size_t open = 0;
   std::error_code error;
   for (std::filesystem::directory_iterator fd("/proc/self/fd", error), end; !error && fd != end;
@@ -81,7 +85,7 @@
     ++open;
   }
   return {{"pid", ::getpid()},
-          {"memory_bytes", resident * ::sysconf(_SC_PAGESIZE)},
+          {"memory_bytes", ResidentBytes()},
           {"descriptors", open > 0 ? open - 1 : 0},  // without the one of the directory being read
           {"most_descriptors", max_descriptors}};
 }
--- a/src/admin/report.h
+++ b/src/admin/report.h
@@ -24,6 +24,9 @@
 // those that are avoided, whether ejected or banned by an operator.
 nlohmann::json OperatorStats(const dispatch::Dispatcher& dispatcher);
 
+// The memory of this process that is resident, as the kernel reports it.
+std::int64_t ResidentBytes();
+
 // The current time of the system clock.
 std::int64_t UnixMilliseconds();
 
--- a/src/sidecar/counter_logger.cpp
+++ b/src/sidecar/counter_logger.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "admin/report.h"
+
 namespace mothrack::sidecar {
 namespace {
 
@@ -78,6 +80,7 @@
   json line;
   PutDecisions(line);
   PutConnections(line);
+  PutMemory(line);
   PutUpstreams(line);
   log_.CounterLine("counts " + line.dump());
 }
@@ -106,6 +109,13 @@
   discovery_ = discovery;
 }
 
+// Writes the bytes that the budget for messages counts, and the resident bytes of the whole process. If the
+// second grows without the first, something holds bytes that no budget counts.
+void CounterLogger::PutMemory(json& line) {
+  line["memory"] = sidecar_.message_bytes();
+  line["resident"] = admin::ResidentBytes();
+}
+
 // Writes one array per upstream: the attempts since the previous line, those of them that ended without an
 // answer, the attempts in flight, the idle connections, and the slow start factor.
 void CounterLogger::PutUpstreams(json& line) {
--- a/src/sidecar/counter_logger.h
+++ b/src/sidecar/counter_logger.h
@@ -33,6 +33,7 @@
   void Write();
   void PutDecisions(nlohmann::json& line);
   void PutConnections(nlohmann::json& line);
+  void PutMemory(nlohmann::json& line);
   void PutUpstreams(nlohmann::json& line);
 
   const runtime::Duration interval_;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -88,6 +88,8 @@
   const dispatch::Dispatcher& dispatcher() const { return dispatcher_; }
   const http::HttpTransport& transport() const { return transport_; }
   const discovery::Discovery& discovery() const { return discovery_; }
+  // The bytes of messages that the memory budget counts.
+  std::size_t message_bytes() const { return budget_.buffered(); }
   // How often a waiting client was found by polling only (docs/design/wakeups.md).
   std::uint64_t missed_wakeups() const { return front_.missed_wakeups(); }
 
