--- a/src/http/body_deadline.h
+++ b/src/http/body_deadline.h
@@ -33,8 +33,8 @@
 
   // Body bytes were received.
   void OnBodyBytes(std::size_t bytes, runtime::TimePoint now) {
-    const auto earned = runtime::Duration(static_cast<std::int64_t>(bytes) *
-                                          runtime::Duration::period::den / bytes_per_second_);
+    const auto earned = runtime::Duration(static_cast<std::int64_t>(bytes) * runtime::Duration::period::den /
+                                          bytes_per_second_);
     due_ = std::min(due_ + earned, now + capacity_);
   }
 
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -9,7 +9,9 @@
 #include <string_view>
 #include <utility>
 
+#include "http/exchange_memory.h"
 #include "http/framing.h"
+#include "http/head_memory.h"
 #include "http/plain_response.h"
 #include "runtime/system_calls.h"
 
@@ -20,6 +22,13 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadSize = 8192;
+// How much of a request is read although the budget denies it.
+constexpr std::size_t kUnclaimedRead = 1024;
+// How many copies of a response's head there are while it is written: the fields, and for a streamed body
+// their text.
+constexpr std::size_t kResponseHeadCopies = 2;
+// For a client whose request is rejected because memory is short.
+constexpr const char* kRetryAfterSeconds = "1";
 // Minimum rate of a request body, in bytes per second, and the time after which a response that cannot be
 // written further ends the connection. Both tolerate ordinary clients on bad links. The timeout is long
 // because the kernel's send buffer may hold much of the response, and the socket becomes writable only after
@@ -29,12 +38,18 @@
 // A connection younger than this that has sent nothing is assumed to be about to send a request.
 constexpr runtime::Duration kNewConnectionAge = std::chrono::milliseconds(300);
 
+bool IsHealthCheck(const beast_http::request_header<>& head) {
+  return head.target() == "/up" && head.method() == beast_http::verb::get;
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(Owner& owner, runtime::Descriptors& descriptors,
-                                   runtime::ByteBudget& budget, tcp::socket socket)
+                                   const runtime::MemoryBudget& budget, tcp::socket socket)
     : owner_(&owner),
       budget_(budget),
+      read_memory_(budget),
+      response_memory_(budget),
       slot_(std::in_place, descriptors, runtime::Descriptors::Side::kClient),
       socket_(std::move(socket)),
       writer_(socket_, *this),
@@ -140,6 +155,7 @@
 
 void ClientConnection::AwaitRequest() {
   reader_.BeginNextRequest();
+  request_memory_ = {};
   extension_granted_ = false;
   since_ = runtime::Now();
   body_deadline_.Begin(since_);
@@ -150,6 +166,7 @@
 // be idle.
 void ClientConnection::Read() {
   if (reading_ || closed_) return;
+  ReleaseReadBuffer();
   // Whether the upstream consumes the body more slowly than it arrives.
   const bool stalled = upload_ && upload_->Capacity() == 0;
   if (stalled) body_deadline_.Pause(runtime::Now());
@@ -180,7 +197,11 @@
 
 void ClientConnection::Receive() {
   auto& buffer = reader_.buffer();
-  const std::size_t size = std::min(buffer.max_size() - buffer.size(), upload_ ? kMaxReadAhead : kReadSize);
+  std::size_t size = ReadSize();
+  if (!ClaimReadBuffer(size)) {
+    size = UnclaimedReadSize();
+    if (size == 0) return OnReadDenied();
+  }
   error_code error;
   const std::size_t received = runtime::ReadSome(socket_, buffer.prepare(size), error);
   if (runtime::WouldBlock(error)) return Read();
@@ -189,6 +210,49 @@
   Progress();
 }
 
+// A long body is read in larger pieces if memory allows, but not in more than the upload can take.
+std::size_t ClientConnection::ReadSize() {
+  const auto& buffer = reader_.buffer();
+  const std::size_t free = buffer.max_size() - buffer.size();
+  const std::size_t least = std::min(free, kReadSize);
+  if (!upload_) return least;
+  const std::size_t wanted = std::min({free, std::max(kReadSize, upload_->Capacity()), kMaxReadAhead});
+  return wanted > least && read_memory_.Grow(reader_.BufferMemory(wanted)) ? wanted : least;
+}
+
+// Returns false if there is no memory for reading `size` more bytes.
+bool ClientConnection::ClaimReadBuffer(std::size_t size) {
+  const std::size_t memory = std::max(read_memory_.bytes(), reader_.BufferMemory(size));
+  const bool reads_request = phase_ == Phase::kReading || upload_;
+  if (reads_request) return read_memory_.Reserve(memory);
+  const bool discards = phase_ == Phase::kLingering || pipeline_overflowed_;
+  // What is discarded is held only until the next line of Receive().
+  if (discards) read_memory_.Set(memory);
+  return discards || read_memory_.Grow(memory);
+}
+
+// The beginning of a request is read even if memory is short, so that health checks are answered and other
+// requests get their rejection.
+std::size_t ClientConnection::UnclaimedReadSize() {
+  const std::size_t buffered = reader_.buffer().size();
+  if (phase_ != Phase::kReading || buffered >= kUnclaimedRead) return 0;
+  read_memory_.Set(std::max(read_memory_.bytes(), reader_.BufferMemory(kUnclaimedRead - buffered)));
+  return kUnclaimedRead - buffered;
+}
+
+// Hundreds of connections may be idle, or wait for the next part of a body. An upload keeps its claim on one
+// small piece, so that it can always go on.
+void ClientConnection::ReleaseReadBuffer() {
+  reader_.FreeEmptyBuffer();
+  read_memory_.Set(std::max(reader_.buffer().capacity(), upload_ ? kReadSize : 0));
+}
+
+void ClientConnection::OnReadDenied() {
+  if (phase_ == Phase::kReading) return RejectForMemory();
+  // The next request of a pipeline is not read before the response to this one is written.
+  owner_->CheckForDisconnects();
+}
+
 void ClientConnection::Progress() {
   if (parsing_ || closed_) return;
   if (phase_ == Phase::kLingering || pipeline_overflowed_) {
@@ -251,7 +315,7 @@
     return false;
   }
   if (step.result == RequestReader::Step::Result::kBodyBlocked) {
-    BeginUpload();
+    if (!GrowBodyBuffer()) BeginUpload();
     return true;
   }
   return step.consumed > 0;
@@ -271,10 +335,39 @@
     Reject(beast_http::status::bad_request, error);
     return false;
   }
+  if (!ReserveRequest()) {
+    RejectForMemory();
+    return false;
+  }
   SendContinue();
   return !closed_;
 }
 
+// Reserves all that is needed to serve the request to its end: its head and the smallest window of its body,
+// one attempt, and one piece of the body at a time. Returns false if the budget denies it.
+bool ClientConnection::ReserveRequest() {
+  if (IsHealthCheck(reader_.head())) return true;
+  const std::size_t head = HeadMemory(reader_.head());
+  const std::size_t body = reader_.has_body() ? runtime::MemoryBudget::kMinWindow : 0;
+  RequestMemory memory{runtime::MemoryBudget::Charge(budget_), runtime::MemoryBudget::Charge(budget_)};
+  if (!memory.message.Reserve(head + body)) return false;
+  if (!memory.exchange.Reserve(ExchangeMemory::Required(head))) return false;
+  if (body > 0 && !read_memory_.Reserve(std::max(read_memory_.bytes(), kReadSize))) return false;
+  request_memory_ = std::move(memory);
+  return true;
+}
+
+// Lets the reader buffer more of the body. Returns false if it has reached the limit, or if memory is short:
+// then the body is streamed.
+bool ClientConnection::GrowBodyBuffer() {
+  const std::size_t capacity = reader_.chunk_capacity();
+  const std::size_t grown = std::min(2 * capacity, kBufferLimit);
+  auto& memory = request_memory_.message;
+  if (grown == capacity || !memory.Grow(memory.bytes() + grown - capacity)) return false;
+  reader_.set_chunk_capacity(grown);
+  return true;
+}
+
 // A client that sent `Expect: 100-continue` waits for this response before it sends the body.
 void ClientConnection::SendContinue() {
   if (!boost::beast::iequals(reader_.head()[beast_http::field::expect], "100-continue")) return;
@@ -302,7 +395,7 @@
   if (!request.keep_alive()) close_after_ = true;
   http_version_ = request.version();
   phase_ = Phase::kServing;
-  if (request.target() == "/up" && request.method() == beast_http::verb::get) {
+  if (IsHealthCheck(request)) {
     return Respond(owner_->ReportsDraining()
                        ? PlainResponse(beast_http::status::service_unavailable, "draining")
                        : PlainResponse(beast_http::status::ok, "up"));
@@ -314,14 +407,21 @@
     if (!self->closed_) return self->Respond(std::move(response), std::move(response_body));
     if (response_body) response_body.stream->Abandon();
   };
-  auto observer = owner_->HandleRequest(std::move(request), std::move(streamed_body), std::move(reply));
+  // With the trailers, and without the part of the body's buffer that was not needed.
+  if (!request.body().empty()) {
+    request_memory_.message.Set(HeadMemory(request.base()) + request.body().capacity());
+  }
+  auto observer = owner_->HandleRequest(std::move(request), std::move(streamed_body),
+                                        std::move(request_memory_), std::move(reply));
   if (phase_ == Phase::kServing) observer_ = std::move(observer);
 }
 
-// Called when the body exceeds kBufferLimit: passes the request on now and streams the body after it.
+// Called when the body exceeds what may be buffered: passes the request on now and streams the body after it.
 void ClientConnection::BeginUpload() {
   HttpRequest request;
-  request.base() = reader_.head();
+  request.base() = reader_.TakeHead();
+  // The stream claims its own memory.
+  request_memory_.message.Set(request_memory_.message.bytes() - reader_.chunk_capacity());
   upload_ = std::make_shared<runtime::Stream>(budget_, kMaxReplaySize);
   upload_->on_capacity = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->Progress();
@@ -348,13 +448,13 @@
 // Appends the parsed part of the body to the upload stream. Returns false if that ended the upload.
 bool ClientConnection::ForwardChunk() {
   const auto upload = upload_;
-  upload->Append(reader_.chunk());
-  reader_.chunk().clear();
+  upload->AppendAndFree(reader_.chunk());
   return upload_ == upload;
 }
 
 void ClientConnection::FinishUpload() {
   const auto upload = std::exchange(upload_, nullptr);
+  reader_.DropTrailers();
   if (reader_.NextRequestIsInvalid()) close_after_ = true;
   if (const auto on_complete = std::exchange(observer_.on_complete, nullptr)) on_complete();
   upload->End(runtime::Stream::State::kComplete);
@@ -367,6 +467,14 @@
   Respond(PlainResponse(status, reason));
 }
 
+void ClientConnection::RejectForMemory() {
+  close_after_ = true;
+  auto response = PlainResponse(beast_http::status::service_unavailable,
+                                "refused: memory is short, trying again is harmless");
+  response.set(beast_http::field::retry_after, kRetryAfterSeconds);
+  Respond(std::move(response));
+}
+
 void ClientConnection::Respond(HttpResponse response, StreamedBody streamed_body) {
   phase_ = Phase::kWriting;
   since_ = runtime::Now();
@@ -379,11 +487,13 @@
   // A handler that finds the request malformed clears the response's keep-alive flag to close the connection.
   if (!response.keep_alive() || owner_->ClosesAfterResponse()) close_after_ = true;
   if (ResponseWriter::EndsWithConnection(streamed_body, http_version_)) close_after_ = true;
+  response_memory_.Set(kResponseHeadCopies * HeadMemory(response.base()) + response.body().capacity());
   writer_.Start(std::move(response), std::move(streamed_body), http_version_, !close_after_);
 }
 
 void ClientConnection::OnResponseWritten() {
   observer_ = {};
+  response_memory_.Set(0);
   if (close_after_) {
     phase_ = Phase::kLingering;
     since_ = runtime::Now();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -6,9 +6,9 @@
 // socket instead (ReadsNothing(), ClientDisconnected()).
 //
 // A connection holds at most kMaxReadAhead bytes ahead of the parser, and of a request body kBufferLimit or
-// its stream's window. Its phases are bounded by the timeouts below and in the source file. Socket errors
-// close the connection. An invalid request gets a 4xx response and ends the connection (RFC 9112
-// section 9.6).
+// its stream's window, all of it charged to the memory budget. A request whose memory cannot be reserved gets
+// a 503 response. Its phases are bounded by the timeouts below and in the source file. Socket errors close
+// the connection. An invalid request gets a 4xx response and ends the connection (RFC 9112 section 9.6).
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -58,14 +58,14 @@
     virtual bool ReportsDraining() const = 0;
     // Serves one request, whose body may still be arriving. `reply` must be called once.
     virtual RequestObserver HandleRequest(HttpRequest&& request, StreamedBody streamed_body,
-                                          ReplyCallback reply) = 0;
+                                          RequestMemory memory, ReplyCallback reply) = 0;
 
    protected:
     ~Owner() = default;
   };
 
   // Occupies one descriptor of the client side until the connection is closed.
-  ClientConnection(Owner& owner, runtime::Descriptors& descriptors, runtime::ByteBudget& budget,
+  ClientConnection(Owner& owner, runtime::Descriptors& descriptors, const runtime::MemoryBudget& budget,
                    boost::asio::ip::tcp::socket socket);
 
   // Starts reading. Must be called once, after a shared_ptr owns the connection.
@@ -117,12 +117,19 @@
   void Read();
   void AwaitClose();
   void Receive();
+  std::size_t ReadSize();
+  bool ClaimReadBuffer(std::size_t size);
+  std::size_t UnclaimedReadSize();
+  void ReleaseReadBuffer();
+  void OnReadDenied();
   void Progress();
   void DiscardBuffered();
   void Parse();
   bool ParseStep();
   bool AcceptHead();
+  bool ReserveRequest();
   void SendContinue();
+  bool GrowBodyBuffer();
 
   // Serving
   void Serve(HttpRequest&& request, StreamedBody streamed_body);
@@ -131,6 +138,7 @@
   bool ForwardChunk();
   void FinishUpload();
   void Reject(beast_http::status status, const std::string& reason);
+  void RejectForMemory();
   void Respond(HttpResponse response, StreamedBody streamed_body = {});
 
   // ResponseWriter::Owner
@@ -146,7 +154,11 @@
   void OnBodyBytes(std::size_t bytes);
 
   Owner* owner_;  // null once the owner is destroyed; the connection is closed then
-  runtime::ByteBudget& budget_;
+  const runtime::MemoryBudget budget_;
+  // First, so that it outlives the bytes that it stands for.
+  runtime::MemoryBudget::Charge read_memory_;      // of the reader's buffer
+  runtime::MemoryBudget::Charge response_memory_;  // of the response that is being written
+  RequestMemory request_memory_;  // of the request that is being read; moves along with the request
   std::optional<runtime::Descriptors::Slot> slot_;
   boost::asio::ip::tcp::socket socket_;
   RequestReader reader_;
--- a/src/http/framing.cpp
+++ b/src/http/framing.cpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "http/head_memory.h"
+
 namespace mothrack::http {
 
 namespace {
@@ -35,6 +37,7 @@
 
 const char* FindFramingError(const beast_http::request_header<>& header) {
   if (header.version() != 10 && header.version() != 11) return "unknown version";
+  if (HasTooManyFields(header)) return "too many header fields";
   const auto codings = header.count(beast_http::field::transfer_encoding);
   const auto lengths = header.count(beast_http::field::content_length);
   if (codings > 0 && lengths > 0) return "both Content-Length and Transfer-Encoding";
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -24,7 +24,8 @@
 // that each byte is examined once.
 HeadStatus InspectHead(boost::beast::string_view bytes, std::size_t& scanned);
 
-// Returns what is wrong with the framing of a request's body (RFC 9112 section 6), or null if nothing is.
+// Returns what is wrong with the framing of a request's body (RFC 9112 section 6) or the number of its
+// fields, or null if nothing is.
 const char* FindFramingError(const beast_http::request_header<>& header);
 
 // Removes hop-by-hop header fields, which a proxy must not forward (RFC 9110 section 7.6.1).
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -118,12 +118,13 @@
 }  // namespace
 
 HttpFrontend::HttpFrontend(boost::asio::io_context& io, const runtime::ListenOptions& options,
-                           runtime::Descriptors& descriptors, runtime::ByteBudget& budget,
+                           runtime::Descriptors& descriptors, const runtime::MemoryBudget& budget,
                            runtime::Logger& log, dispatch::Dispatcher& dispatcher)
     : dispatcher_(dispatcher),
       listener_(io, options, descriptors, budget, log, DeadlinesOf(dispatcher.settings()),
-                [this](HttpRequest&& request, StreamedBody streamed_body, const ReplyCallback& reply) {
-                  return Accept(std::move(request), std::move(streamed_body), reply);
+                [this](HttpRequest&& request, StreamedBody streamed_body, RequestMemory memory,
+                       const ReplyCallback& reply) {
+                  return Accept(std::move(request), std::move(streamed_body), std::move(memory), reply);
                 }) {
   const balancer::Settings& settings = dispatcher.settings();
   for (std::size_t i = 0; i < settings.classes.size(); ++i) {
@@ -134,7 +135,7 @@
   }
 }
 
-RequestObserver HttpFrontend::Accept(HttpRequest&& request, StreamedBody streamed_body,
+RequestObserver HttpFrontend::Accept(HttpRequest&& request, StreamedBody streamed_body, RequestMemory memory,
                                      const ReplyCallback& reply) {
   const runtime::TimePoint now = runtime::Now();
   RemoveHopByHop(request);  // first, because `Connection` may name fields that are checked below
@@ -155,7 +156,8 @@
   accepted.work = attributes.work;
   accepted.client_retry = attributes.client_retry;
   accepted.key = std::move(attributes.id);  // upstreams could not tell two requests with the same id apart
-  accepted.message = std::make_shared<const HttpMessage>(std::move(request), std::move(streamed_body));
+  accepted.message =
+      std::make_shared<const HttpMessage>(std::move(request), std::move(streamed_body), std::move(memory));
   accepted.on_final = [reply](dispatch::FinalAnswer final) {
     StreamedBody body = TakeStreamedBody(final);
     reply(ToResponse(final), std::move(body));
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -20,7 +20,7 @@
  public:
   // Accepts connections at once. Throws boost::system::system_error if it cannot listen.
   HttpFrontend(boost::asio::io_context& io, const runtime::ListenOptions& options,
-               runtime::Descriptors& descriptors, runtime::ByteBudget& budget, runtime::Logger& log,
+               runtime::Descriptors& descriptors, const runtime::MemoryBudget& budget, runtime::Logger& log,
                dispatch::Dispatcher& dispatcher);
 
   // The functions below forward to Listener.
@@ -49,7 +49,8 @@
     std::string reason;
   };
 
-  RequestObserver Accept(HttpRequest&& request, StreamedBody streamed_body, const ReplyCallback& reply);
+  RequestObserver Accept(HttpRequest&& request, StreamedBody streamed_body, RequestMemory memory,
+                         const ReplyCallback& reply);
   std::variant<RequestAttributes, InvalidRequest> Parse(const HttpRequest& request, bool has_body) const;
 
   dispatch::Dispatcher& dispatcher_;
--- a/src/http/incremental_body.h
+++ b/src/http/incremental_body.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "http/messages.h"
+#include "runtime/exact_string.h"
 
 namespace mothrack::http {
 
@@ -41,6 +42,7 @@
         const std::size_t capacity =
             chunk_.capacity > chunk_.bytes.size() ? chunk_.capacity - chunk_.bytes.size() : 0;
         const std::size_t size = std::min(capacity, part.size());
+        MakeRoom(size);
         chunk_.bytes.append(static_cast<const char*>(part.data()), size);
         used += size;
         if (size < part.size()) {
@@ -53,6 +55,14 @@
     void finish(boost::system::error_code& error) { error = {}; }
 
    private:
+    // Doubles the storage, but never beyond the chunk's capacity.
+    void MakeRoom(std::size_t size) {
+      const std::size_t needed = chunk_.bytes.size() + size;
+      if (needed <= chunk_.bytes.capacity()) return;
+      runtime::ReallocateExactly(chunk_.bytes,
+                                 std::max(needed, std::min(2 * chunk_.bytes.size(), chunk_.capacity)));
+    }
+
     value_type& chunk_;
   };
 };
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -44,10 +44,10 @@
 }  // namespace
 
 Listener::Listener(boost::asio::io_context& io, const runtime::ListenOptions& options,
-                   runtime::Descriptors& descriptors, runtime::ByteBudget& budget, runtime::Logger& log,
+                   runtime::Descriptors& descriptors, runtime::MemoryBudget budget, runtime::Logger& log,
                    const DeadlineRange& deadlines, RequestHandler handler)
     : descriptors_(descriptors),
-      budget_(budget),
+      budget_(std::move(budget)),
       handler_(std::move(handler)),
       acceptor_(io, options, "http", *this, log),
       sweep_interval_(std::clamp(deadlines.shortest / kSweepsInDeadline, kPollInterval, kSweepInterval)),
@@ -93,8 +93,8 @@
 }
 
 RequestObserver Listener::HandleRequest(HttpRequest&& request, StreamedBody streamed_body,
-                                        ReplyCallback reply) {
-  return handler_(std::move(request), std::move(streamed_body), std::move(reply));
+                                        RequestMemory memory, ReplyCallback reply) {
+  return handler_(std::move(request), std::move(streamed_body), std::move(memory), std::move(reply));
 }
 
 void Listener::Quiesce(bool on) {
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -38,7 +38,7 @@
   // notification for a waiting client was missed, and a planned stop ends before the SIGKILL that may follow
   // the longest one.
   Listener(boost::asio::io_context& io, const runtime::ListenOptions& options,
-           runtime::Descriptors& descriptors, runtime::ByteBudget& budget, runtime::Logger& log,
+           runtime::Descriptors& descriptors, runtime::MemoryBudget budget, runtime::Logger& log,
            const DeadlineRange& deadlines, RequestHandler handler);
   ~Listener();
   Listener(const Listener&) = delete;
@@ -80,7 +80,7 @@
   // `/up` reports whether the address accepts clients. If there is a successor, it does even while this
   // process drains.
   bool ReportsDraining() const override { return quiescing() && !has_successor_; }
-  RequestObserver HandleRequest(HttpRequest&& request, StreamedBody streamed_body,
+  RequestObserver HandleRequest(HttpRequest&& request, StreamedBody streamed_body, RequestMemory memory,
                                 ReplyCallback reply) override;
 
   runtime::Duration SweepInterval() const;
@@ -95,7 +95,7 @@
   void PollAcceptor(runtime::TimePoint now);
 
   runtime::Descriptors& descriptors_;
-  runtime::ByteBudget& budget_;
+  const runtime::MemoryBudget budget_;
   const RequestHandler handler_;
   runtime::ConnectionSet<ClientConnection> connections_;
   runtime::Acceptor acceptor_;
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -32,12 +32,19 @@
   explicit operator bool() const { return stream != nullptr; }
 };
 
+// The memory that is reserved for one request until its message is destroyed.
+struct RequestMemory {
+  runtime::MemoryBudget::Charge message;   // its head, and its body unless that is streamed
+  runtime::MemoryBudget::Charge exchange;  // what one attempt at a time needs, see ExchangeMemory
+};
+
 // A request in the form in which attempts send it.
 struct HttpMessage : dispatch::Message {
-  explicit HttpMessage(HttpRequest request, StreamedBody streamed_body = {})
-      : request(std::move(request)), streamed_body(std::move(streamed_body)) {}
+  explicit HttpMessage(HttpRequest request, StreamedBody streamed_body = {}, RequestMemory memory = {})
+      : request(std::move(request)), streamed_body(std::move(streamed_body)), memory(std::move(memory)) {}
   HttpRequest request;
   StreamedBody streamed_body;
+  mutable RequestMemory memory;  // `exchange` is lent to the attempts, which share a const message
 };
 
 // An upstream's response.
@@ -60,8 +67,13 @@
 inline constexpr std::size_t kMaxReplaySize = std::size_t{512} * 1024;
 // Maximum size of a message head, including the empty line that ends it.
 inline constexpr std::uint32_t kMaxHeaderSize = 16 * 1024;
-// Maximum number of bytes that a connection reads ahead of its parser.
+// Maximum number of fields of a message head, with the trailers of a chunked body. Each takes far more memory
+// than the few bytes that it may have on the wire.
+inline constexpr std::size_t kMaxHeaderFields = 256;
+// Maximum number of bytes that a client connection reads ahead of its parser.
 inline constexpr std::size_t kMaxReadAhead = std::size_t{32} * 1024;
+// The same of an upstream connection. A whole head must fit.
+inline constexpr std::size_t kMaxUpstreamReadAhead = kMaxHeaderSize;
 
 // Serializes a head, including the empty line that ends it.
 template <bool isRequest>
--- a/src/http/request_handler.h
+++ b/src/http/request_handler.h
@@ -22,8 +22,9 @@
 };
 
 // Handles one request, whose body may still be arriving. The handler may move from `request`. It is a
-// reference, because moving a message costs about a hundred instructions.
-using RequestHandler =
-    std::function<RequestObserver(HttpRequest&& request, StreamedBody streamed_body, ReplyCallback reply)>;
+// reference, because moving a message costs about a hundred instructions. `memory` must live as long as the
+// request is held.
+using RequestHandler = std::function<RequestObserver(HttpRequest&& request, StreamedBody streamed_body,
+                                                     RequestMemory memory, ReplyCallback reply)>;
 
 }  // namespace mothrack::http
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "http/request_reader.h"
 
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <boost/system/error_code.hpp>
 #include <utility>
@@ -23,13 +24,25 @@
   parser_.emplace();
   parser_->body_limit(kMaxBodySize);
   parser_->header_limit(kMaxHeaderSize);
-  set_chunk_capacity(kBufferLimit);
+  set_chunk_capacity(runtime::MemoryBudget::kMinWindow);
   started_ = false;
   head_reported_ = false;
   head_scanned_ = 0;
-  if (buffer_.size() == 0) buffer_.shrink_to_fit();  // because most connections are idle most of the time
 }
 
+// As flat_buffer::prepare() allocates.
+std::size_t RequestReader::BufferMemory(std::size_t size) const {
+  const std::size_t needed = buffer_.size() + size;
+  if (needed <= buffer_.capacity()) return buffer_.capacity();
+  return std::min(buffer_.max_size(), std::max(2 * buffer_.size(), needed));
+}
+
+void RequestReader::FreeEmptyBuffer() {
+  if (buffer_.size() == 0) buffer_.shrink_to_fit();
+}
+
+bool RequestReader::has_body() const { return parser_->chunked() || content_length().value_or(0) > 0; }
+
 RequestReader::Step RequestReader::Advance() {
   if (!parser_->is_header_done()) {
     const HeadStatus head = InspectHead(Unparsed(), head_scanned_);
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "http/incremental_body.h"
 #include "http/messages.h"
@@ -43,6 +44,10 @@
   // Bytes that were read from the socket and not parsed yet.
   boost::beast::flat_buffer& buffer() { return buffer_; }
   const boost::beast::flat_buffer& buffer() const { return buffer_; }
+  // The memory that the buffer takes once `size` more bytes are prepared in it.
+  std::size_t BufferMemory(std::size_t size) const;
+  // Frees the buffer's memory if it holds no bytes.
+  void FreeEmptyBuffer();
 
   // Whether any byte of the current request has arrived.
   bool started() const { return started_; }
@@ -55,10 +60,18 @@
   bool in_body() const { return parser_->is_header_done(); }
   // From Content-Length; absent if the body is chunked.
   std::optional<std::uint64_t> content_length() const;
+  // Whether the head announces a body.
+  bool has_body() const;
   const beast_http::request_header<>& head() const { return parser_->get(); }
+  // Moves the head out, whose body is still arriving.
+  beast_http::request_header<> TakeHead() { return std::move(parser_->get().base()); }
+  // Drops what was merged into the head since TakeHead(): the trailers of a chunked body.
+  void DropTrailers() { parser_->get().base().clear(); }
 
   // Body bytes that were parsed. The caller reads them and clears the string.
   std::string& chunk() { return parser_->get().body().bytes; }
+  // The number of body bytes at which the parser stops until they are taken or the capacity is increased.
+  std::size_t chunk_capacity() const { return parser_->get().body().capacity; }
   void set_chunk_capacity(std::size_t bytes) { parser_->get().body().capacity = bytes; }
 
   // Moves the complete request out.
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -18,10 +18,10 @@
 }  // namespace
 
 HttpTransport::HttpTransport(boost::asio::io_context& io, const balancer::Limits& limits, bool load_by_probe,
-                             runtime::Descriptors& descriptors, runtime::ByteBudget& budget)
+                             runtime::Descriptors& descriptors, runtime::MemoryBudget budget)
     : connect_timeout_(limits.connect_timeout),
       probe_target_(load_by_probe ? kLoadTarget : kAliveTarget),
-      budget_(budget),
+      budget_(std::move(budget)),
       pools_(io, limits.idle_close, descriptors, counters_) {}
 
 HttpTransport::~HttpTransport() {
@@ -45,16 +45,20 @@
 void HttpTransport::Send(dispatch::ExchangeId id, const std::string& uid,
                          std::shared_ptr<const dispatch::Message> message, runtime::Duration timeout,
                          dispatch::ExchangeHooks hooks) {
-  auto connection = pools_.Acquire(uid);
   auto http_message = std::static_pointer_cast<const HttpMessage>(message);
+  auto memory = ExchangeMemory::Take(http_message, budget_);
+  auto connection = memory ? pools_.Acquire(uid) : nullptr;
   // A body can only be sent (again) while its stream still holds it from the first byte on.
   if (connection && http_message->streamed_body && !http_message->streamed_body.stream->BeginConsuming()) {
     pools_.Release(std::exchange(connection, nullptr));
   }
-  if (!connection) return hooks.on_end({Outcome::kNotSent, runtime::Duration::zero(), {}, nullptr});
+  if (!connection) {
+    memory.reset();  // first, so that a retry finds it
+    return hooks.on_end({Outcome::kNotSent, runtime::Duration::zero(), {}, nullptr});
+  }
   UpstreamExchange::Owner& owner = *this;
   const auto exchange = std::make_shared<UpstreamExchange>(
-      owner, budget_, std::move(connection),
+      owner, budget_, std::move(*memory), std::move(connection),
       UpstreamExchange::Request{id, std::move(http_message), connect_timeout_, timeout}, std::move(hooks));
   open_exchanges_.emplace(id, exchange);
   exchange->Start();
--- a/src/http/transport.h
+++ b/src/http/transport.h
@@ -25,7 +25,7 @@
  public:
   // `load_by_probe`: probes request a load report, not only an answer that shows that the upstream is alive.
   HttpTransport(boost::asio::io_context& io, const balancer::Limits& limits, bool load_by_probe,
-                runtime::Descriptors& descriptors, runtime::ByteBudget& budget);
+                runtime::Descriptors& descriptors, runtime::MemoryBudget budget);
   // Closes all connections. Callbacks of open exchanges are not called.
   ~HttpTransport() override;
   HttpTransport(const HttpTransport&) = delete;
@@ -59,7 +59,7 @@
 
   const runtime::Duration connect_timeout_;
   const std::string probe_target_;
-  runtime::ByteBudget& budget_;
+  const runtime::MemoryBudget budget_;
   TransportCounters counters_;
   ConnectionPools pools_;
   std::map<dispatch::ExchangeId, std::shared_ptr<UpstreamExchange>> open_exchanges_;
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -25,7 +25,7 @@
       slot_(std::in_place, descriptors, runtime::Descriptors::Side::kUpstream),
       socket_(io),
       timer_(io) {
-  buffer_.max_size(kMaxReadAhead);
+  buffer_.max_size(kMaxUpstreamReadAhead);
 }
 
 error_code UpstreamConnection::OpenSocket() {
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -72,7 +72,7 @@
   // Null once the upstream is gone and nothing else refers to its pool.
   std::shared_ptr<UpstreamPool> pool() const { return pool_.lock(); }
   boost::asio::ip::tcp::socket& socket() { return socket_; }
-  // Bytes that were read and not parsed; at most kMaxReadAhead.
+  // Bytes that were read and not parsed; at most kMaxUpstreamReadAhead.
   boost::beast::flat_buffer& buffer() { return buffer_; }
   // The timer of the exchange that uses the connection. Kept here, so that it is not constructed and
   // destroyed for each exchange.
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <utility>
 
+#include "http/head_memory.h"
 #include "http/load_report.h"
 
 namespace mothrack::http {
@@ -29,6 +30,9 @@
 // client for 2 s.
 constexpr runtime::Duration kBufferingTimeout = seconds(1);
 
+// How many copies of a response's head there are: the parser's, the client's response, and its text.
+constexpr std::size_t kResponseHeadCopies = 3;
+
 // Whether the head determines where the response ends. A response may end with its connection (RFC 9112
 // section 6.3) only if the head says that the connection ends. Otherwise a complete response could not be
 // distinguished from a truncated one.
@@ -86,11 +90,13 @@
 
 }  // namespace
 
-UpstreamExchange::UpstreamExchange(Owner& owner, runtime::ByteBudget& budget,
+UpstreamExchange::UpstreamExchange(Owner& owner, const runtime::MemoryBudget& budget, ExchangeMemory memory,
                                    std::shared_ptr<UpstreamConnection> connection, Request request,
                                    dispatch::ExchangeHooks hooks)
     : owner_(owner),
       budget_(budget),
+      memory_(std::move(memory)),
+      response_memory_(budget),
       connection_(std::move(connection)),
       request_(std::move(request)),
       hooks_(std::move(hooks)),
@@ -170,7 +176,7 @@
 void UpstreamExchange::ReadHeader() {
   parser_.emplace();
   parser_->body_limit(kMaxBodySize);
-  parser_->get().body().capacity = kBufferLimit;
+  parser_->get().body().capacity = runtime::MemoryBudget::kMinWindow;
   parser_->header_limit(kMaxHeaderSize);
   // Read the head on its own first: if the start of the body arrives together with the head, Beast 1.74 loses
   // the error that the body exceeds its limit and would accept all of it.
@@ -190,14 +196,37 @@
   }
   // A 200 before the whole request was written is invalid too.
   if (status == 200 && (!written_ || !HasDefinedEnd(*parser_))) return End(Cause::kBroken);
+  if (!ReserveHead()) return End(Cause::kBroken);
   const auto length = parser_->content_length();
-  if (status == 200 && length && *length > kBufferLimit) return StartStreaming();
+  const bool buffers = (status != 200 || (length && *length <= kBufferLimit)) &&
+                       GrowBodyBuffer(std::min<std::uint64_t>(length.value_or(kBufferLimit), kBufferLimit));
+  if (status == 200 && length && !buffers) return StartStreaming();
   if (status != 200 || length) return ReadWholeBody();
   buffering_until_ = runtime::Now() + kBufferingTimeout;
   ArmTimer(std::min(*buffering_until_, deadline_));
   ReadSomeBody();
 }
 
+// Returns false if the head has too many fields, or if the budget denies the memory that it takes.
+bool UpstreamExchange::ReserveHead() {
+  if (HasTooManyFields(parser_->get())) return false;
+  return response_memory_.Reserve(HeadMemoryBeyondAllowance());
+}
+
+std::size_t UpstreamExchange::HeadMemoryBeyondAllowance() const {
+  const std::size_t head = kResponseHeadCopies * HeadMemory(parser_->get());
+  return head > ExchangeMemory::kHeadAllowance ? head - ExchangeMemory::kHeadAllowance : 0;
+}
+
+// Lets the parser buffer up to `size` bytes of the body. Returns false if memory is short.
+bool UpstreamExchange::GrowBodyBuffer(std::size_t size) {
+  std::size_t& capacity = parser_->get().body().capacity;
+  if (size <= capacity) return true;
+  if (!response_memory_.Grow(response_memory_.bytes() + size - capacity)) return false;
+  capacity = size;
+  return true;
+}
+
 void UpstreamExchange::ReadWholeBody() {
   beast_http::async_read(connection_->socket(), connection_->buffer(), *parser_,
                          [self = shared_from_this()](error_code error, std::size_t) {
@@ -235,18 +264,19 @@
     return ContinueBuffering(error == beast_http::error::need_buffer);
   }
   const auto stream = response_stream_;  // Append() may end the exchange and with it the member
-  stream->Append(parser_->get().body().bytes);
+  stream->AppendAndFree(parser_->get().body().bytes);
   if (connection_->closed()) return;
-  parser_->get().body().bytes.clear();
   reading_body_ = false;
   if (parser_->is_done()) return FinishWithResponse();
   ReadSomeBody();
 }
 
 void UpstreamExchange::ContinueBuffering(bool beyond_limit) {
-  const std::size_t size = parser_->get().body().bytes.size();
-  const bool long_enough = size >= kMinStreamedSize && runtime::Now() >= *buffering_until_;
-  if (beyond_limit || long_enough) return StartStreaming();
+  const BodyChunk& body = parser_->get().body();
+  const bool long_enough = body.bytes.size() >= kMinStreamedSize && runtime::Now() >= *buffering_until_;
+  const bool full = beyond_limit && (body.capacity >= kBufferLimit ||
+                                     !GrowBodyBuffer(std::min(2 * body.capacity, kBufferLimit)));
+  if (full || long_enough) return StartStreaming();
   ReadSomeBody();
 }
 
@@ -263,16 +293,20 @@
   buffering_until_.reset();
   HttpResponse head;
   head.base() = parser_->get().base();
+  // The stream claims its own memory.
+  memory_.ReleaseWindow();
+  response_memory_.Set(HeadMemoryBeyondAllowance());
   StreamedBody streamed_body{std::make_shared<runtime::Stream>(budget_, 0), std::nullopt};
   if (const auto length = parser_->content_length()) streamed_body.length = *length;
   response_stream_ = streamed_body.stream;
-  response_stream_->Append(parser_->get().body().bytes);
-  parser_->get().body().bytes.clear();
+  response_stream_->AppendAndFree(parser_->get().body().bytes);
   response_stream_->on_capacity = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->ReadSomeBody();
   };
   DisarmTimer();
   streaming_ = true;
+  // Beast reads as many bytes at a time as the buffer has room for.
+  connection_->buffer().reserve(kMaxUpstreamReadAhead);
   hooks_.on_started(std::make_unique<HttpReply>(std::move(head), std::move(streamed_body)));
   if (reading_body_ && !connection_->closed()) return ArmTimer(runtime::Now() + kResponseIdleTimeout);
   ReadSomeBody();
@@ -281,6 +315,8 @@
 // ---- Ending ----
 
 void UpstreamExchange::FinishWithResponse() {
+  // There are more fields than in OnHeader() if the body had trailers.
+  if (HasTooManyFields(parser_->get())) return End(Cause::kBroken);
   const bool complete = parser_->is_done();
   const bool keep_alive = parser_->get().keep_alive() && !parser_->need_eof();
   auto message = parser_->release();
@@ -355,6 +391,9 @@
 
 dispatch::Transport::OnEnd UpstreamExchange::MarkEnded() {
   phase_ = Phase::kEnded;
+  // The client's connection claims the memory of the response that it gets.
+  memory_.Return();
+  response_memory_.Set(0);
   auto on_end = std::exchange(hooks_.on_end, nullptr);
   owner_.Remove(request_.id);
   return on_end;
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -5,8 +5,10 @@
 // first.
 //
 // An exchange holds at most one response head of kMaxHeaderSize, and of the body kBufferLimit or its stream's
-// window. Its phases are bounded by the request's timeouts and those in the source file. Errors become an
-// Outcome, which distinguishes requests that were certainly not written from those that may have run.
+// window, all of it within its ExchangeMemory or charged to the memory budget. If memory is short, a response
+// is streamed that would otherwise be buffered. Its phases are bounded by the request's timeouts and those in
+// the source file. Errors become an Outcome, which distinguishes requests that were certainly not written
+// from those that may have run.
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
@@ -16,6 +18,7 @@
 #include <optional>
 
 #include "dispatch/exchange.h"
+#include "http/exchange_memory.h"
 #include "http/incremental_body.h"
 #include "http/messages.h"
 #include "http/request_writer.h"
@@ -48,8 +51,9 @@
     runtime::Duration timeout{};
   };
 
-  UpstreamExchange(Owner& owner, runtime::ByteBudget& budget, std::shared_ptr<UpstreamConnection> connection,
-                   Request request, dispatch::ExchangeHooks hooks);
+  UpstreamExchange(Owner& owner, const runtime::MemoryBudget& budget, ExchangeMemory memory,
+                   std::shared_ptr<UpstreamConnection> connection, Request request,
+                   dispatch::ExchangeHooks hooks);
 
   // Must be called once, after a shared_ptr owns the exchange.
   void Start();
@@ -95,6 +99,9 @@
   // Reading
   void ReadHeader();
   void OnHeader(boost::system::error_code error);
+  bool ReserveHead();
+  std::size_t HeadMemoryBeyondAllowance() const;
+  bool GrowBodyBuffer(std::size_t size);
   void ReadWholeBody();
   void OnWholeBody(boost::system::error_code error);
   void ReadSomeBody();
@@ -118,7 +125,10 @@
   void OnTimer();
 
   Owner& owner_;
-  runtime::ByteBudget& budget_;
+  const runtime::MemoryBudget budget_;
+  ExchangeMemory memory_;
+  // What the response takes beyond `memory_`, without the stream.
+  runtime::MemoryBudget::Charge response_memory_;
   const std::shared_ptr<UpstreamConnection> connection_;
   Request request_;
   dispatch::ExchangeHooks hooks_;
--- a/src/runtime/stream.h
+++ b/src/runtime/stream.h
@@ -1,7 +1,10 @@
 // The body of one message while it passes through the sidecar. The producer appends received bytes, and the
 // consumer reads as many as it can write. The buffer between them is bounded by a window, which is this
-// stream's part of the process's budget. A short body is retained after it was consumed, so that a retry can
-// send it from its beginning.
+// stream's part of the process's memory budget. A short body is retained after it was consumed, so that a
+// retry can send it from its beginning.
+//
+// The budget counts the buffer's whole capacity, and MemoryBudget::kMinWindow at least. Whoever creates a
+// stream must have reserved that much and gives it back, because the stream claims it without asking.
 //
 // Shared by the producer and the consumer through a shared_ptr, used on the thread of the event loop. Sizes
 // are in bytes. No call fails: a body that is truncated ends in State::kTruncated.
@@ -14,37 +17,9 @@
 #include <string>
 #include <string_view>
 
-namespace mothrack::runtime {
-
-// The bytes that all streams of the process may buffer together, shared evenly among the open ones.
-class ByteBudget {
- public:
-  // `bytes`: the budget of the process.
-  explicit ByteBudget(std::size_t bytes) : bytes_(bytes), full_bytes_(bytes) {}
-
-  // The window of each open stream. It is at least kMinWindow, so that every stream makes progress, and at
-  // most kMaxWindow. If there are more streams than windows of kMinWindow fit into the budget, each further
-  // stream exceeds the budget by up to kMinWindow. The number of streams is bounded by the descriptors.
-  std::size_t Window() const;
-  // Halves the budget, because another process of this sidecar uses the other half.
-  void Halve() { bytes_ = full_bytes_ / 2; }
-  // Restores the full budget, once that process has exited.
-  void Restore() { bytes_ = full_bytes_; }
+#include "runtime/memory_budget.h"
 
-  // The number of bytes that all open streams buffer.
-  std::size_t buffered() const { return buffered_; }
-  std::size_t open_streams() const { return open_streams_; }
-
-  static constexpr std::size_t kMinWindow = std::size_t{16} * 1024;
-  static constexpr std::size_t kMaxWindow = std::size_t{256} * 1024;
-
- private:
-  friend class Stream;
-  std::size_t bytes_;       // the budget now
-  std::size_t full_bytes_;  // the budget while no other process uses half of it
-  std::size_t buffered_ = 0;
-  std::size_t open_streams_ = 0;
-};
+namespace mothrack::runtime {
 
 class Stream {
  public:
@@ -54,9 +29,9 @@
     kTruncated,  // the rest of the body will never arrive
   };
 
-  // Consumed bytes are retained until the body exceeds `max_retained`, or half of the budget is in use.
-  Stream(ByteBudget& budget, std::size_t max_retained);
-  ~Stream();
+  // Consumed bytes are retained until the body exceeds `max_retained`, or half of the budget is in use, or
+  // their memory is needed for bytes that are not consumed.
+  Stream(const MemoryBudget& budget, std::size_t max_retained);
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
 
@@ -66,6 +41,8 @@
   std::size_t Capacity() const;
   // Appends `bytes`, even beyond Capacity(), which is then 0.
   void Append(std::string_view bytes);
+  // The same, and frees the storage of `bytes`, or takes it over if nothing is buffered.
+  void AppendAndFree(std::string& bytes);
   // Ends the body; calls after the first have no effect.
   void End(State state);
   // Called when there may be capacity again, or when the stream was abandoned, from within a call of the
@@ -95,10 +72,19 @@
   std::uint64_t size() const { return base_ + bytes_.size() - head_; }  // bytes appended so far
 
  private:
+  bool IsClosed() const { return abandoned_ || state_ != State::kArriving; }
+  std::size_t buffered() const { return bytes_.size() - head_; }
+  void OnAppended();
+  void MakeRoom(std::size_t size);
+  bool Reallocate(std::size_t capacity);
   void DropConsumed();
   void Drop(std::size_t size);
+  void ReleaseSpareMemory();
+  void SetCharge();
 
-  ByteBudget& budget_;
+  const MemoryBudget budget_;
+  const MemoryBudget::OpenStream open_stream_;
+  MemoryBudget::Charge charge_;
   const std::size_t max_retained_;
   std::string bytes_;  // the body from offset base_ on, after `head_` bytes that are already dropped
   std::size_t head_ = 0;
--- a/src/sidecar/counter_logger.cpp
+++ b/src/sidecar/counter_logger.cpp
@@ -109,11 +109,15 @@
   discovery_ = discovery;
 }
 
-// Writes the bytes that the budget for messages counts, and the resident bytes of the whole process. If the
-// second grows without the first, something holds bytes that no budget counts.
+// Writes the bytes that the budget for messages counts, how often it denied a reservation, and the resident
+// bytes of the whole process. If the last grows without the first, something holds bytes that no budget
+// counts.
 void CounterLogger::PutMemory(json& line) {
-  line["memory"] = sidecar_.message_bytes();
+  const runtime::MemoryBudget& memory = sidecar_.memory();
+  line["memory"] = memory.used();
   line["resident"] = admin::ResidentBytes();
+  CounterDelta(line).Put("memory_denied", memory.denied(), memory_denied_);
+  memory_denied_ = memory.denied();
 }
 
 // Writes one array per upstream: the attempts since the previous line, those of them that ended without an
--- a/src/sidecar/counter_logger.h
+++ b/src/sidecar/counter_logger.h
@@ -44,6 +44,7 @@
   balancer::Counts decisions_;
   http::HttpTransport::Counts connections_;
   discovery::Discovery::Counts discovery_;
+  std::uint64_t memory_denied_ = 0;
   std::map<std::string, Attempts> attempts_;  // by upstream id
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -27,9 +27,10 @@
 // its predecessor, while the agent of this machine answers at once.
 constexpr runtime::Duration kListTimeout = std::chrono::milliseconds(500);
 
-// The memory limit divided by this is the budget for streamed bodies. Bodies that are buffered completely
-// may use as much again, and so may the kernel's buffers.
-constexpr std::size_t kBodyMemoryDivisor = 4;
+// The share of the memory limit for the bytes of messages. The rest is for the process itself, its
+// connections without their messages, and what the allocator cannot reuse: docs/design/connection_limits.md.
+constexpr std::size_t kMessageMemoryNumerator = 3;
+constexpr std::size_t kMessageMemoryDenominator = 8;
 
 runtime::ListenOptions ListenOptionsOf(const Config& config, const Sidecar::Inheritance& inheritance) {
   runtime::ListenOptions options(config.listen);
@@ -45,7 +46,7 @@
                  runtime::Descriptors& descriptors, runtime::Logger& log, std::function<void()> on_ready)
     : start_times_(runtime::ReadClocks()),
       log_(log),
-      budget_(config.memory / kBodyMemoryDivisor),
+      budget_(config.memory / kMessageMemoryDenominator * kMessageMemoryNumerator),
       transport_(io, config.settings.limits, config.settings.load_by_probe, descriptors, budget_),
       dispatcher_(io, config.settings, config.seed, transport_, log, [this] { discovery_.Start(); }),
       discovery_(io, config.discovery,
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -32,7 +32,7 @@
     bool share_port = false;     // another process may listen as well (SO_REUSEPORT)
     bool wait_for_list = false;  // accept clients only once discovery sent its list, or after kListTimeout
     bool quiescing = false;
-    bool share_memory = false;  // the former process uses half of the memory for bodies
+    bool share_memory = false;  // the former process uses half of the memory for messages
     std::set<std::string> bans{};
     std::vector<std::string> ids{};  // recent request ids, for duplicate detection
     // Start times of upstreams' processes as the former process determined them, and when it got its last
@@ -57,7 +57,7 @@
   void StopAccepting() { front_.PauseAccepting(); }
   // Accepts clients again, because the successor exited.
   void ResumeAccepting() { front_.ResumeAccepting(); }
-  // `on`: another process of this sidecar uses half of the memory for bodies.
+  // `on`: another process of this sidecar uses half of the memory for messages.
   void ShareMemory(bool on) { on ? budget_.Halve() : budget_.Restore(); }
   // State for a successor.
   std::vector<std::string> RecentIds() const { return dispatcher_.RecentKeys(); }
@@ -88,8 +88,7 @@
   const dispatch::Dispatcher& dispatcher() const { return dispatcher_; }
   const http::HttpTransport& transport() const { return transport_; }
   const discovery::Discovery& discovery() const { return discovery_; }
-  // The bytes of messages that the memory budget counts.
-  std::size_t message_bytes() const { return budget_.buffered(); }
+  const runtime::MemoryBudget& memory() const { return budget_; }
   // How often a waiting client was found by polling only (docs/design/wakeups.md).
   std::uint64_t missed_wakeups() const { return front_.missed_wakeups(); }
 
@@ -98,7 +97,7 @@
 
   dispatch::StartTimes start_times_;
   runtime::Logger& log_;
-  runtime::ByteBudget budget_;
+  runtime::MemoryBudget budget_;
   http::HttpTransport transport_;
   dispatch::Dispatcher dispatcher_;
   discovery::Discovery discovery_;
--- a/tests/http/bulk_test.cpp
+++ b/tests/http/bulk_test.cpp
@@ -163,7 +163,7 @@
     max_resident = std::max(max_resident, ResidentBytes(node));
   }
   // The limit covers the data that the sidecar buffers for the readers: thirty windows of 256 KiB
-  // (runtime::ByteBudget::kMaxWindow), twice that while they are copied, and the bytes that each connection
+  // (runtime::MemoryBudget::kMaxWindow), twice that while they are copied, and the bytes that each connection
   // reads ahead of its parser (http::kMaxReadAhead).
   EXPECT_LT(max_resident, resident_before + kMaxMemoryGrowth);
   readers.clear();
--- a/tests/http/listener_disconnect_test.cpp
+++ b/tests/http/listener_disconnect_test.cpp
@@ -8,6 +8,10 @@
 namespace mothrack {
 namespace {
 
+// What one upload needs at least, and what a flood of pipelined requests may take.
+constexpr std::size_t kMemoryForOneUpload = std::size_t{64} * 1024;
+constexpr std::size_t kMemoryForReadAhead = std::size_t{1} << 20;
+
 struct DisconnectCase {
   const char* name;
   std::string sent;
@@ -22,9 +26,9 @@
       // 256 KiB are read, and up to two reads more. The rest stays in the kernel's receive buffer, before the
       // close.
       {"more bytes after it than are read", Get("/p") + PipelinedRequests(280000), false},
-      // The buffer limit, the minimum window and the read-ahead, plus 8 KiB that stay in the kernel's receive
-      // buffer.
-      {"an upload that the handler does not consume", PostOfLength(1 << 20, (64 + 16 + 32 + 8) * 1024), true},
+      // More than all of the memory, so that some bytes stay in the kernel's receive buffer.
+      {"an upload that the handler does not consume", PostOfLength(1 << 20, kMemoryForOneUpload + 40 * 1024),
+       true},
   };
 }
 
@@ -34,7 +38,7 @@
     for (const DisconnectKind disconnect_kind : {DisconnectKind::kClose, DisconnectKind::kReset}) {
       SCOPED_TRACE(disconnect_case.name +
                    std::string(disconnect_kind == DisconnectKind::kReset ? ", reset" : ", closed"));
-      Listen(kManyDescriptors, runtime::ByteBudget::kMinWindow);
+      Listen(kManyDescriptors, disconnect_case.streamed ? kMemoryForOneUpload : kMemoryForReadAhead);
       Client& client = Connect();
       ASSERT_EQ(SendAll(client, disconnect_case.sent), disconnect_case.sent.size());
       RunUntilIdle();
--- a/tests/http/listener_fixture.h
+++ b/tests/http/listener_fixture.h
@@ -82,6 +82,7 @@
     std::string body;
     http::ReplyCallback reply;
     http::StreamedBody streamed_body;
+    http::RequestMemory memory;
     bool disconnected = false;
     bool complete = false;
   };
@@ -96,24 +97,27 @@
 
   void Listen(std::size_t sockets, std::size_t budget_bytes = 1 << 20) {
     listener.reset();
+    forwarded.clear();
     descriptors.emplace(sockets);
     budget.emplace(budget_bytes);
     const runtime::ListenOptions options(runtime::Endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    listener.emplace(
-        io, options, *descriptors, *budget, log,
-        http::DeadlineRange{std::chrono::seconds(5), std::chrono::seconds(5)},
-        [this](http::HttpRequest request, http::StreamedBody streamed_body, http::ReplyCallback reply) {
-          return HandleRequest(std::move(request), std::move(streamed_body), std::move(reply));
-        });
+    listener.emplace(io, options, *descriptors, *budget, log,
+                     http::DeadlineRange{std::chrono::seconds(5), std::chrono::seconds(5)},
+                     [this](http::HttpRequest request, http::StreamedBody streamed_body,
+                            http::RequestMemory memory, http::ReplyCallback reply) {
+                       return HandleRequest(std::move(request), std::move(streamed_body), std::move(memory),
+                                            std::move(reply));
+                     });
     intercepted_calls.listening = listener->native_handle();
   }
 
   http::RequestObserver HandleRequest(http::HttpRequest request, http::StreamedBody streamed_body,
-                                      http::ReplyCallback reply) {
+                                      http::RequestMemory memory, http::ReplyCallback reply) {
     ForwardedRequest& forwarded_request = forwarded.emplace_back();
     forwarded_request.target = std::string(request.target());
     forwarded_request.body = request.body();
     forwarded_request.streamed_body = streamed_body;
+    forwarded_request.memory = std::move(memory);
     forwarded_request.reply = std::move(reply);
     if (streamed_body && consumes_bodies) {
       streamed_body.stream->BeginConsuming();
@@ -274,7 +278,7 @@
   boost::asio::io_context clients_io;  // of the clients' sockets; never run
   boost::asio::io_context io{1};
   std::optional<runtime::Descriptors> descriptors;
-  std::optional<runtime::ByteBudget> budget;
+  std::optional<runtime::MemoryBudget> budget;
   std::deque<ForwardedRequest> forwarded;
   std::optional<http::Listener> listener;
   std::deque<Client> clients;
--- a/tests/http/listener_limits_test.cpp
+++ b/tests/http/listener_limits_test.cpp
@@ -56,7 +56,7 @@
   const std::string sent = PostOfLength(8 << 20, 8 << 20);
   EXPECT_LT(SendAll(client, sent), sent.size());
   RunUntilIdle();
-  EXPECT_LE(budget->buffered(), http::kBufferLimit + runtime::ByteBudget::kMaxWindow);
+  EXPECT_LE(budget->used(), http::kBufferLimit + runtime::MemoryBudget::kMaxWindow);
   const auto waits_before = intercepted_calls.waits;
   RunUntilIdle();
   EXPECT_LE(intercepted_calls.waits - waits_before, 2U);
--- a/tests/http/transport_test.cpp
+++ b/tests/http/transport_test.cpp
@@ -125,7 +125,7 @@
 
   boost::asio::io_context io;
   runtime::Descriptors descriptors;
-  runtime::ByteBudget budget;
+  runtime::MemoryBudget budget;
   http::HttpTransport transport;
   std::vector<Outcome> outcomes;
   std::vector<std::unique_ptr<dispatch::Reply>> started;  // responses with a streamed body
--- a/tests/runtime/stream_test.cpp
+++ b/tests/runtime/stream_test.cpp
@@ -1,6 +1,8 @@
 // Tests a body stream: its window, consuming it again from the first byte, and abandoning it.
 #include "runtime/stream.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,7 +13,8 @@
 namespace {
 
 TEST(Stream, BuffersNoMoreThanItsWindowAndNotifiesBothSides) {
-  runtime::ByteBudget budget(64 * 1024);
+  // Two thirds of it are for streams.
+  runtime::MemoryBudget budget(96 * 1024);
   runtime::Stream stream(budget, 0);
   int capacity_events = 0;
   int bytes_events = 0;
@@ -25,12 +28,13 @@
   stream.Consume(40 * 1024);
   EXPECT_EQ(capacity_events, 1);
   EXPECT_EQ(stream.Capacity(), 40U * 1024);
-  EXPECT_EQ(budget.buffered(), 24U * 1024);
+  EXPECT_EQ(stream.Ready().size(), 24U * 1024);
+  EXPECT_EQ(budget.used(), 64U * 1024);  // the whole storage, not only the bytes in it
   {
     // The budget is shared evenly among open streams, with a minimum window for each.
     std::vector<std::unique_ptr<runtime::Stream>> others;
     for (int i = 0; i < 9; ++i) others.push_back(std::make_unique<runtime::Stream>(budget, 0));
-    EXPECT_EQ(others[0]->Capacity(), runtime::ByteBudget::kMinWindow);
+    EXPECT_EQ(others[0]->Capacity(), runtime::MemoryBudget::kMinWindow);
   }
   stream.Append("end");
   stream.End(runtime::Stream::State::kComplete);
@@ -39,11 +43,11 @@
   EXPECT_EQ(stream.Ready(), "end");
   stream.Consume(3);
   EXPECT_TRUE(stream.done());
-  EXPECT_EQ(budget.buffered(), 0U);
+  EXPECT_EQ(budget.used(), runtime::MemoryBudget::kMinWindow);
 }
 
 TEST(Stream, CanBeConsumedAgainOnlyWhileAllIsBuffered) {
-  runtime::ByteBudget budget(1024 * 1024);
+  runtime::MemoryBudget budget(1024 * 1024);
   runtime::Stream stream(budget, 100);
   ASSERT_TRUE(stream.BeginConsuming());
   stream.Append(std::string(60, 'a'));
@@ -60,7 +64,7 @@
 }
 
 TEST(Stream, BytesThatArriveAfterAnAbandonAreDropped) {
-  runtime::ByteBudget budget(1024 * 1024);
+  runtime::MemoryBudget budget(1024 * 1024);
   runtime::Stream stream(budget, 1000);
   ASSERT_TRUE(stream.BeginConsuming());
   stream.Append("some");
@@ -69,7 +73,70 @@
     ASSERT_GT(stream.Capacity(), 0U);
     stream.Append(std::string(10000, 'x'));
   }
-  EXPECT_EQ(budget.buffered(), 0U);
+  EXPECT_EQ(stream.Ready(), "");
+  EXPECT_EQ(budget.used(), runtime::MemoryBudget::kMinWindow);
+}
+
+// Guards against this failure: the budget counted the bytes in a buffer, not the storage that the buffer had
+// allocated for them.
+TEST(Stream, TheBudgetCountsTheStorage) {
+  runtime::MemoryBudget budget(1024 * 1024);
+  runtime::Stream stream(budget, 0);
+  ASSERT_TRUE(stream.BeginConsuming());
+  std::string taken_over(64 * 1024, 'a');
+  stream.AppendAndFree(taken_over);
+  EXPECT_EQ(budget.used(), 64U * 1024);
+  stream.Append("b");
+  EXPECT_EQ(budget.used(), 128U * 1024);
+  EXPECT_EQ(stream.Ready(), std::string(64 * 1024, 'a') + 'b');
+  stream.Consume(64 * 1024 + 1);
+  stream.End(runtime::Stream::State::kComplete);
+}
+
+// The windows of streams that were opened earlier shrink as they are consumed.
+TEST(Stream, AllStreamsTogetherStayWithinTheBudget) {
+  constexpr std::size_t kStreams = 60;
+  runtime::MemoryBudget budget(1024 * 1024);
+  std::vector<std::unique_ptr<runtime::Stream>> streams;
+  for (std::size_t i = 0; i < kStreams; ++i) {
+    // As whoever creates a stream must do.
+    runtime::MemoryBudget::Charge reservation(budget);
+    if (!reservation.Reserve(runtime::MemoryBudget::kMinWindow)) break;
+    reservation.Set(0);
+    streams.push_back(std::make_unique<runtime::Stream>(budget, 512 * 1024));
+    runtime::Stream& stream = *streams.back();
+    ASSERT_TRUE(stream.BeginConsuming());
+    EXPECT_GE(stream.Capacity(), runtime::MemoryBudget::kMinWindow);
+    for (int part = 0; part < 8 && stream.Capacity() > 0; ++part) {
+      stream.Append(std::string(std::min<std::size_t>(stream.Capacity(), 40000), 'x'));
+      if (part % 2 == 0) stream.Consume(stream.Ready().size() / 2);
+    }
+    ASSERT_LE(budget.used(), budget.limit()) << i;
+  }
+  EXPECT_GT(streams.size(), 20U);
+  // Each still makes progress.
+  for (const auto& stream : streams) {
+    stream->Consume(stream->Ready().size());
+    EXPECT_GE(stream->Capacity(), runtime::MemoryBudget::kMinWindow);
+    stream->Append(std::string(stream->Capacity(), 'y'));
+    ASSERT_LE(budget.used(), budget.limit());
+  }
+}
+
+TEST(Stream, RetainedBytesAreGivenUpIfMemoryIsShort) {
+  runtime::MemoryBudget budget(128 * 1024);
+  runtime::Stream stream(budget, 512 * 1024);
+  ASSERT_TRUE(stream.BeginConsuming());
+  stream.Append(std::string(40 * 1024, 'a'));
+  stream.Consume(40 * 1024);
+  runtime::MemoryBudget::Charge other(budget);
+  ASSERT_TRUE(other.Reserve(88 * 1024));
+  EXPECT_GE(stream.Capacity(), runtime::MemoryBudget::kMinWindow);
+  stream.Append(std::string(runtime::MemoryBudget::kMinWindow, 'b'));
+  EXPECT_EQ(stream.Ready(), std::string(runtime::MemoryBudget::kMinWindow, 'b'));
+  EXPECT_LE(budget.used(), budget.limit());
+  stream.StopConsuming();
+  EXPECT_FALSE(stream.BeginConsuming());
 }
 
 }  // namespace
--- a/tests/standins/node.cpp
+++ b/tests/standins/node.cpp
@@ -91,7 +91,7 @@
              {"listen", options.listen},
              {"discovery", options.discovery},
              {"seed", "8c1f30d27a5be964"},
-             {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", options.sockets}}},
+             {"limits", {{"cores", 1.0}, {"memory_mb", options.memory_mb}, {"sockets", options.sockets}}},
              {"settings", options.settings}};
   if (!options.known.is_null()) config_["known"] = {{"rev", 0}, {"all", true}, {"targets", options.known}};
   std::ofstream(config_path_) << (options.config_text.empty() ? config_.dump() : options.config_text);
--- a/tests/standins/peers.h
+++ b/tests/standins/peers.h
@@ -172,6 +172,7 @@
     json known = nullptr;  // the endpoint list in the configuration file; null: there is none
     json settings = Settings();
     int sockets = 256;
+    int memory_mb = 192;
     std::string listen = "127.0.0.1:0";
     std::string ops = "";            // LB_OPS: the listening address of the operators' port; empty: not set
     std::string tmpdir = "";         // $TMPDIR; empty: not set
