--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -240,11 +240,13 @@
   return kUnclaimedRead - buffered;
 }
 
-// Hundreds of connections may be idle, or wait for the next part of a body. An upload keeps its claim on one
-// small piece, so that it can always go on.
+// Hundreds of connections may be idle, or wait for the next part of a body. While a body is read, the claim
+// on one small piece is kept, so that it can always go on.
 void ClientConnection::ReleaseReadBuffer() {
   reader_.FreeEmptyBuffer();
-  read_memory_.Set(std::max(reader_.buffer().capacity(), upload_ ? kReadSize : 0));
+  const bool reads_request = phase_ == Phase::kReading || upload_;
+  const bool reads_body = reads_request && reader_.in_body() && !reader_.complete();
+  read_memory_.Set(std::max(reader_.buffer().capacity(), reads_body ? kReadSize : 0));
 }
 
 void ClientConnection::OnReadDenied() {
@@ -346,9 +348,9 @@
 // Reserves all that is needed to serve the request to its end: its head and the smallest window of its body,
 // one attempt, and one piece of the body at a time. Returns false if the budget denies it.
 bool ClientConnection::ReserveRequest() {
-  if (IsHealthCheck(reader_.head())) return true;
-  const std::size_t head = HeadMemory(reader_.head());
   const std::size_t body = reader_.has_body() ? runtime::MemoryBudget::kMinWindow : 0;
+  if (body == 0 && IsHealthCheck(reader_.head())) return true;
+  const std::size_t head = HeadMemory(reader_.head());
   RequestMemory memory{runtime::MemoryBudget::Charge(budget_), runtime::MemoryBudget::Charge(budget_)};
   if (!memory.message.Reserve(head + body)) return false;
   if (!memory.exchange.Reserve(ExchangeMemory::Required(head))) return false;
--- a/src/runtime/memory_budget.cpp
+++ b/src/runtime/memory_budget.cpp
@@ -37,12 +37,14 @@
 }
 
 bool MemoryBudget::Charge::Reserve(std::size_t bytes) {
+  if (totals_ == nullptr) return bytes == 0;
   const bool fits = bytes <= bytes_ || totals_->used + (bytes - bytes_) <= totals_->limit;
   fits ? Set(bytes) : void(++totals_->denied);
   return fits;
 }
 
 bool MemoryBudget::Charge::Grow(std::size_t bytes) {
+  if (totals_ == nullptr) return bytes == 0;
   const bool fits = bytes <= bytes_ || bytes - bytes_ <= totals_->GrowthAvailable();
   if (fits) Set(bytes);
   return fits;
--- a/src/runtime/memory_budget.h
+++ b/src/runtime/memory_budget.h
@@ -70,7 +70,7 @@
     Charge& operator=(const Charge&) = delete;
 
     // Changes the size of this charge. Returns false, without effect, if it would increase and the budget
-    // denies that.
+    // denies that. A charge of no budget cannot increase.
     bool Reserve(std::size_t bytes);
     bool Grow(std::size_t bytes);
     // Changes the size without asking: for bytes that already exist and were part of another charge.
--- a/tests/http/listener_memory_test.cpp
+++ b/tests/http/listener_memory_test.cpp
@@ -72,6 +72,20 @@
   }
 }
 
+// The memory for reading the body is kept although the client pauses after the head.
+TEST_F(ListenerMemory, BodiesThatFollowTheirHeadsLaterStayWithinTheBudget) {
+  consumes_bodies = false;
+  const std::string text = PostOfLength(1 << 20, 100000);
+  const std::size_t head_size = text.size() - 100000;
+  const int rejected = SendFromAll(text.substr(0, head_size));
+  EXPECT_GT(rejected, 0);
+  for (Client& client : clients) {
+    if (client.received.empty()) SendAll(client, text.substr(head_size));
+    EXPECT_LE(budget->used(), kBudget);
+  }
+  EXPECT_EQ(static_cast<int>(forwarded.size()), kClients - rejected);
+}
+
 TEST_F(ListenerMemory, BufferedBodiesStayWithinTheBudget) {
   replies_at_once = false;
   EXPECT_GT(SendFromAll(PostOfLength(60000, 60000)), 0);
@@ -117,6 +131,12 @@
   EXPECT_TRUE(forwarded.empty());
 }
 
+TEST_F(ListenerMemory, AHealthCheckWithABodyIsAnswered) {
+  Client& client = Connect();
+  Send(client, "GET /up HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n" + std::string(20000, 'x'));
+  EXPECT_TRUE(Receives(client, " 200 "));
+}
+
 // A body that may not be buffered is streamed from its beginning.
 TEST_F(ListenerMemory, AShortBodyIsStreamedIfMemoryIsShort) {
   runtime::MemoryBudget::Charge others(*budget);
--- a/tests/runtime/memory_budget_test.cpp
+++ b/tests/runtime/memory_budget_test.cpp
@@ -59,6 +59,16 @@
   EXPECT_EQ(budget.used(), 0U);
 }
 
+TEST(MemoryBudget, AChargeOfNoBudgetHoldsNothing) {
+  Charge charge;
+  charge.Set(5);
+  EXPECT_EQ(charge.bytes(), 0U);
+  EXPECT_FALSE(charge.Reserve(1));
+  EXPECT_FALSE(charge.Grow(1));
+  EXPECT_TRUE(charge.Reserve(0));
+  EXPECT_TRUE(charge.Grow(0));
+}
+
 // Two processes of a hot restart have half of the limit each.
 TEST(MemoryBudget, ASharedLimitIsHalf) {
   MemoryBudget budget(kLimit);
