Short transfers test: the sidecar knows its upstream before the first request

Cause: the test posts as soon as the sidecar listens, and it learnt its upstream from discovery only; a request that comes before that list is rejected, rightly. Change: the configuration has the list as `known`; what is transferred and expected is as before.

--- a/tests/sidecar/short_transfers_test.cpp
+++ b/tests/sidecar/short_transfers_test.cpp
@@ -47,9 +47,11 @@
   const std::string body(3'000'000, 'b');
   FaultPlanFile faults;
   Upstream upstream([&](Wire& wire, const Request& request, int) { wire.Answer(200, request.body()); });
-  Discovery discovery(List({Target("u1", upstream.address())}));
+  const json upstreams = List({Target("u1", upstream.address())});
+  Discovery discovery(upstreams);
   Node::Options options;
   options.discovery = discovery.address();
+  options.known = upstreams;  // the first request may arrive before discovery's list
   options.fault_plan = faults.path();
   Node node(options);
   ASSERT_TRUE(node.Listening());
