Random draws: one a statement, so that seeds play the same on every machine

Seen: ActionDigest failed on arm64. Two draws stood in one list of arguments, whose order the language leaves open; GCC evaluates the later argument first on x86-64 and the earlier one on arm64. The draws are in sequence now, the later argument's first, so the recorded digest stays. The same is mended where a search for draws in one expression found it: the simulator's log-normal draw, and two generators of the gossip tests (no recorded figure depends on these).

--- a/src/simulation/simulator.h
+++ b/src/simulation/simulator.h
@@ -47,7 +47,9 @@
   double LogNormal(double variation) {
     if (variation <= 0) return 1;
     const double log_variance = std::log(1 + variation * variation);
-    const double normal = std::sqrt(-2 * std::log(1 - Uniform())) * std::cos(6.283185307179586 * Uniform());
+    // One draw a statement: the order in which operands are evaluated differs between compilers.
+    const double radius = std::sqrt(-2 * std::log(1 - Uniform()));
+    const double normal = radius * std::cos(6.283185307179586 * Uniform());
     return std::exp(std::sqrt(log_variance) * normal - log_variance / 2);
   }
 
--- a/tests/balancer/action_digest_test.cpp
+++ b/tests/balancer/action_digest_test.cpp
@@ -88,9 +88,11 @@
     std::vector<UpstreamInfo> list;
     const std::uint64_t count = 2 + RandomBelow(12);
     for (std::uint64_t i = 0; i < count; ++i) {
-      UpstreamInfo info =
-          MakeUpstream("u" + std::to_string(RandomBelow(16)),
-                       RandomBelow(8) == 0 ? UpstreamState::kDraining : UpstreamState::kServing);
+      // One draw a statement: the order in which arguments are evaluated differs between compilers.
+      const bool draining = RandomBelow(8) == 0;
+      const std::uint64_t uid = RandomBelow(16);
+      UpstreamInfo info = MakeUpstream("u" + std::to_string(uid),
+                                       draining ? UpstreamState::kDraining : UpstreamState::kServing);
       info.zone = "z" + std::to_string(i % 3);
       info.weight = 1 + static_cast<double>(RandomBelow(3));
       if (RandomBelow(2) == 0) info.started = sidecar_.now - std::chrono::seconds(RandomBelow(40));
@@ -104,7 +106,9 @@
     if (draw == 0) {
       ReplaceList();
     } else if (draw < 9) {
-      sidecar_.Arrive(ClassId{RandomBelow(5)}, Duration(50'000 + RandomBelow(2'000'000)));
+      const Duration timeout(50'000 + RandomBelow(2'000'000));
+      const ClassId request_class{RandomBelow(5)};
+      sidecar_.Arrive(request_class, timeout);
     } else {
       EndRandomAttempt();
     }
--- a/tests/gossip/core_bounds_test.cpp
+++ b/tests/gossip/core_bounds_test.cpp
@@ -66,8 +66,11 @@
     std::vector<Message> messages;
     for (int i = 0; i < 12; ++i) {
       Message message = From("helper");
-      message.updates = {MakeMember("m", 50 + random.Below(2), random.Below(3),
-                                    static_cast<MemberState>(1 + random.Below(4)))};
+      // One draw a statement: the order in which arguments are evaluated differs between compilers.
+      const auto state = static_cast<MemberState>(1 + random.Below(4));
+      const auto incarnation = random.Below(3);
+      const auto boot_number = 50 + random.Below(2);
+      message.updates = {MakeMember("m", boot_number, incarnation, state)};
       const auto version = 1 + random.Below(4);  // determines the bytes and age, as set by the owner
       message.values.push_back(
           MakeValue(50 + random.Below(2), version, version == 3 ? 9000 : 0, 9000, Numbered("v", version)));
--- a/tests/gossip/random_messages.h
+++ b/tests/gossip/random_messages.h
@@ -32,7 +32,8 @@
     update.incarnation = RandomNumber(kMaxCounter);
     update.state = static_cast<MemberState>(1 + Below(4));
     update.role = static_cast<Role>(1 + Below(2));
-    update.address = RandomText(1, kMaxAddressSize - 6, "0123456789.") + ':' + std::to_string(Below(65536));
+    update.address = RandomText(1, kMaxAddressSize - 6, "0123456789.");
+    update.address += ':' + std::to_string(Below(65536));
     if (Below(4) != 0) update.zone = RandomName();
     return update;
   }
