Upstream answers: nothing is lent to a pending read, so a timer may grow or free any buffer

Seen by callers: processes ended by segmentation faults and by malloc's checks, a client of an unsafe class got 153 kB of right length and wrong bytes, answers were truncated 8 and 36 ms after they had begun. Cause: an answer of unknown length that is 16 KiB long 1 s after its head is streamed from then on; StartStreaming() called flat_buffer::reserve() on the connection's read buffer, which reallocates it, while Beast's asynchronous read still pointed into the old storage. Change: ResponseReader parses without I/O, as RequestReader does; the exchange waits for readability and reads at once, so no asynchronous read refers to storage at all. A write that ends after an early response no longer calls a hook of an exchange that has ended, nor does one that ends after the transport was destroyed.

--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/socket_base.hpp>
 #include <utility>
 
-#include "http/messages.h"
 #include "runtime/system_calls.h"
 
 namespace mothrack::http {
@@ -24,9 +23,7 @@
       pool_(pool),
       slot_(std::in_place, descriptors, runtime::Descriptors::Side::kUpstream),
       socket_(io),
-      timer_(io) {
-  buffer_.max_size(kMaxUpstreamReadAhead);
-}
+      timer_(io) {}
 
 error_code UpstreamConnection::OpenSocket() {
   error_code error;
@@ -57,8 +54,6 @@
 
 void UpstreamConnection::BeginIdle() {
   idle_since_ = runtime::Now();
-  buffer_.clear();
-  buffer_.shrink_to_fit();
   Watch();
 }
 
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -1,14 +1,13 @@
 // One connection to an upstream, and the pool that holds it while it is idle.
 //
 // A connection is owned by its pool while idle and by an UpstreamExchange while in use. It runs on the thread
-// of the event loop. While it is idle, any event (a close or unexpected bytes) closes it. So each exchange
-// starts with empty read and parse buffers.
+// of the event loop. While it is idle, any event (a close or unexpected bytes) closes it. It has no buffers:
+// each exchange reads into its own.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstdint>
 #include <functional>
@@ -56,7 +55,7 @@
 
   // Marks the start of an exchange. Events are handled by the exchange from now on.
   void BeginUse() { ++use_; }
-  // The exchange has ended: discards its buffered bytes. Any event from now on closes the connection.
+  // The exchange has ended. Any event from now on closes the connection.
   void BeginIdle();
   // Whether the upstream has neither closed the connection nor sent unexpected bytes. Checked before each
   // use, because the event loop may not have delivered the event yet.
@@ -72,8 +71,6 @@
   // Null once the upstream is gone and nothing else refers to its pool.
   std::shared_ptr<UpstreamPool> pool() const { return pool_.lock(); }
   boost::asio::ip::tcp::socket& socket() { return socket_; }
-  // Bytes that were read and not parsed; at most kMaxUpstreamReadAhead.
-  boost::beast::flat_buffer& buffer() { return buffer_; }
   // The timer of the exchange that uses the connection. Kept here, so that it is not constructed and
   // destroyed for each exchange.
   boost::asio::steady_timer& timer() { return timer_; }
@@ -86,7 +83,6 @@
   const std::weak_ptr<UpstreamPool> pool_;
   std::optional<runtime::Descriptors::Slot> slot_;
   boost::asio::ip::tcp::socket socket_;
-  boost::beast::flat_buffer buffer_;
   boost::asio::steady_timer timer_;
   bool connected_ = false;
   bool closed_ = false;
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -1,8 +1,7 @@
 #include "http/upstream_exchange.h"
 
 #include <algorithm>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/asio/error.hpp>
 #include <cerrno>
 #include <chrono>
 #include <cstdint>
@@ -10,11 +9,13 @@
 
 #include "http/head_memory.h"
 #include "http/load_report.h"
+#include "runtime/system_calls.h"
 
 namespace mothrack::http {
 namespace {
 
 using balancer::Outcome;
+using boost::asio::ip::tcp;
 using boost::system::error_code;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -33,15 +34,10 @@
 // How many copies of a response's head there are: the parser's, the client's response, and its text.
 constexpr std::size_t kResponseHeadCopies = 3;
 
-// Whether the head determines where the response ends. A response may end with its connection (RFC 9112
-// section 6.3) only if the head says that the connection ends. Otherwise a complete response could not be
-// distinguished from a truncated one.
-bool HasDefinedEnd(const beast_http::response_parser<IncrementalBody>& parser) {
-  const auto& header = parser.get();
-  const auto codings = header.count(beast_http::field::transfer_encoding);
-  if (codings == 0) return parser.content_length().has_value() || !header.keep_alive();
-  return codings == 1 && boost::beast::iequals(header[beast_http::field::transfer_encoding], "chunked");
-}
+// How much is read at once before the head is complete; most responses are shorter.
+constexpr std::size_t kHeadReadSize = std::size_t{4} * 1024;
+// After this many reads the other connections of the event loop get their turn.
+constexpr int kMaxReadsAtOnce = 16;
 
 // Whether connecting failed because this machine lacked a resource (port, memory, route) or was interrupted.
 // Such an error says nothing about the upstream, and nothing was sent. See connect(2), ip(7).
@@ -132,7 +128,8 @@
   } else {
     ArmTimer(deadline_);
   }
-  ReadHeader();
+  reader_.emplace();
+  AwaitBytes();
   // Send the upstream the time that remains after connecting.
   const runtime::Duration left =
       request_arriving_ ? request_.timeout : runtime::Duration(deadline_ - runtime::Now());
@@ -140,6 +137,7 @@
 }
 
 void UpstreamExchange::OnWriteEnded(bool written, error_code error) {
+  if (phase_ == Phase::kEnded) return;  // a response came before the whole request was written
   if (written) SetWritten();
   if (pending_end_) return FinishWithoutResponse(*pending_end_);
   if (connection_->closed()) return;
@@ -173,161 +171,206 @@
 
 // ---- Reading ----
 
-void UpstreamExchange::ReadHeader() {
-  parser_.emplace();
-  parser_->body_limit(kMaxBodySize);
-  parser_->get().body().capacity = runtime::MemoryBudget::kMinWindow;
-  parser_->header_limit(kMaxHeaderSize);
-  // Read the head on its own first: if the start of the body arrives together with the head, Beast 1.74 loses
-  // the error that the body exceeds its limit and would accept all of it.
-  beast_http::async_read_header(connection_->socket(), connection_->buffer(), *parser_,
-                                [self = shared_from_this()](error_code error, std::size_t) {
-                                  if (!self->connection_->closed()) self->OnHeader(error);
-                                });
+// Waits until the socket is readable. Nothing is lent to the event loop meanwhile, so that timers may grow or
+// free any storage of this exchange.
+void UpstreamExchange::AwaitBytes() {
+  if (awaiting_bytes_ || connection_->closed()) return;
+  awaiting_bytes_ = true;
+  connection_->socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+    self->awaiting_bytes_ = false;
+    if (self->connection_->closed() || self->phase_ == Phase::kEnded) return;
+    if (error) return self->End(Cause::kBroken);
+    self->Receive();
+  });
 }
 
-void UpstreamExchange::OnHeader(error_code error) {
-  if (error) return End(Cause::kBroken);
-  const unsigned status = parser_->get().result_int();
+void UpstreamExchange::Receive() {
+  for (int reads = 0; reads < kMaxReadsAtOnce; ++reads) {
+    const std::size_t wanted = reader_->head_complete() ? kMaxUpstreamReadAhead : kHeadReadSize;
+    error_code error;
+    const std::size_t size = runtime::ReadSome(connection_->socket(), reader_->Prepare(wanted), error);
+    if (runtime::WouldBlock(error)) break;
+    if (error == boost::asio::error::eof) return OnUpstreamClosed();
+    if (error) return End(Cause::kBroken);
+    reader_->Commit(size);
+    if (!Process()) return;
+  }
+  AwaitBytes();
+}
+
+// The stream has capacity again. While bytes are awaited, all that have arrived are processed already.
+void UpstreamExchange::Resume() {
+  if (processing_ || awaiting_bytes_ || connection_->closed() || !response_stream_) return;
+  if (Process()) Receive();
+}
+
+// Returns whether more bytes are to be read.
+bool UpstreamExchange::Process() {
+  const auto self = shared_from_this();
+  processing_ = true;
+  bool goes_on = PrepareStreamCapacity();
+  auto step = ResponseReader::Step::kHead;
+  while (goes_on && step != ResponseReader::Step::kNeedsBytes) {
+    step = reader_->Advance();
+    goes_on = OnStep(step) && PrepareStreamCapacity();
+  }
+  processing_ = false;
+  return goes_on;
+}
+
+bool UpstreamExchange::OnStep(ResponseReader::Step step) {
+  switch (step) {
+    case ResponseReader::Step::kNeedsBytes:
+      return ForwardBody();
+    case ResponseReader::Step::kHead:
+      return OnHead();
+    case ResponseReader::Step::kBodyFull:
+      return OnBodyFull();
+    case ResponseReader::Step::kComplete:
+      if (ForwardBody()) FinishWithResponse();
+      return false;
+    case ResponseReader::Step::kInvalid:
+      End(Cause::kBroken);
+      return false;
+  }
+  return false;
+}
+
+void UpstreamExchange::OnUpstreamClosed() {
+  const auto self = shared_from_this();
+  OnStep(reader_->AdvanceAtEnd());
+}
+
+bool UpstreamExchange::OnHead() {
+  const unsigned status = reader_->head().result_int();
   if (status / 100 == 1) {
     const bool switches_protocol = status == static_cast<unsigned>(beast_http::status::switching_protocols);
-    if (switches_protocol || ++interim_responses_ > kMaxInterimResponses) return End(Cause::kBroken);
-    return ReadHeader();
+    const bool acceptable = !switches_protocol && ++interim_responses_ <= kMaxInterimResponses;
+    acceptable ? reader_->BeginNextResponse() : End(Cause::kBroken);
+    return acceptable;
   }
   // A 200 before the whole request was written is invalid too.
-  if (status == 200 && (!written_ || !HasDefinedEnd(*parser_))) return End(Cause::kBroken);
-  if (!ReserveHead()) return End(Cause::kBroken);
-  const auto length = parser_->content_length();
+  const bool valid = status != 200 || (written_ && reader_->has_defined_end());
+  if (!valid || !ReserveHead()) {
+    End(Cause::kBroken);
+    return false;
+  }
+  const auto length = reader_->content_length();
   const bool buffers = (status != 200 || (length && *length <= kBufferLimit)) &&
                        GrowBodyBuffer(std::min<std::uint64_t>(length.value_or(kBufferLimit), kBufferLimit));
-  if (status == 200 && length && !buffers) return StartStreaming();
-  if (status != 200 || length) return ReadWholeBody();
+  if (status != 200) return true;
+  if (length) return buffers || StartStreaming();
   buffering_until_ = runtime::Now() + kBufferingTimeout;
   ArmTimer(std::min(*buffering_until_, deadline_));
-  ReadSomeBody();
+  return true;
 }
 
 // Returns false if the head has too many fields, or if the budget denies the memory that it takes.
 bool UpstreamExchange::ReserveHead() {
-  if (HasTooManyFields(parser_->get())) return false;
+  if (HasTooManyFields(reader_->head())) return false;
   return response_memory_.Reserve(HeadMemoryBeyondAllowance());
 }
 
 std::size_t UpstreamExchange::HeadMemoryBeyondAllowance() const {
-  const std::size_t head = kResponseHeadCopies * HeadMemory(parser_->get());
+  const std::size_t head = kResponseHeadCopies * HeadMemory(reader_->head());
   return head > ExchangeMemory::kHeadAllowance ? head - ExchangeMemory::kHeadAllowance : 0;
 }
 
-// Lets the parser buffer up to `size` bytes of the body. Returns false if memory is short.
+// Lets the reader buffer up to `size` bytes of the body. Returns false if memory is short.
 bool UpstreamExchange::GrowBodyBuffer(std::size_t size) {
-  std::size_t& capacity = parser_->get().body().capacity;
+  const std::size_t capacity = reader_->body_capacity();
   if (size <= capacity) return true;
   if (!response_memory_.Grow(response_memory_.bytes() + size - capacity)) return false;
-  capacity = size;
+  reader_->set_body_capacity(size);
   return true;
 }
 
-void UpstreamExchange::ReadWholeBody() {
-  beast_http::async_read(connection_->socket(), connection_->buffer(), *parser_,
-                         [self = shared_from_this()](error_code error, std::size_t) {
-                           if (!self->connection_->closed()) self->OnWholeBody(error);
-                         });
-}
-
-void UpstreamExchange::OnWholeBody(error_code error) {
+bool UpstreamExchange::OnBodyFull() {
+  if (response_stream_) return ForwardBody();
+  if (buffering_until_) {
+    const std::size_t capacity = reader_->body_capacity();
+    if (capacity < kBufferLimit && GrowBodyBuffer(std::min(2 * capacity, kBufferLimit))) return true;
+    return StartStreaming();
+  }
   // For an error response the first part of the body is enough.
-  if (error && error != beast_http::error::need_buffer) return End(Cause::kBroken);
   FinishWithResponse();
+  return false;
 }
 
-void UpstreamExchange::ReadSomeBody() {
-  if (connection_->closed() || reading_body_ || (!response_stream_ && !buffering_until_)) return;
-  if (response_stream_) {
-    const std::size_t capacity = response_stream_->Capacity();
-    // The client reads slowly; its pause does not count against the upstream.
-    if (capacity == 0) return DisarmTimer();
-    parser_->get().body().capacity = capacity;
-    ArmTimer(runtime::Now() + kResponseIdleTimeout);
-  }
-  reading_body_ = true;
-  beast_http::async_read_some(connection_->socket(), connection_->buffer(), *parser_,
-                              [self = shared_from_this()](error_code error, std::size_t) {
-                                if (!self->connection_->closed()) self->OnSomeBody(error);
-                              });
-}
-
-void UpstreamExchange::OnSomeBody(error_code error) {
-  if (error && error != beast_http::error::need_buffer) return End(Cause::kBroken);
+// Passes on what has arrived of a streamed body, or begins to stream one that has been buffered for long
+// enough.
+bool UpstreamExchange::ForwardBody() {
   if (!response_stream_) {
-    reading_body_ = false;
-    if (parser_->is_done()) return FinishWithResponse();
-    return ContinueBuffering(error == beast_http::error::need_buffer);
+    const bool long_enough = buffering_until_ && !reader_->complete() &&
+                             runtime::Now() >= *buffering_until_ &&
+                             reader_->body().size() >= kMinStreamedSize;
+    return !long_enough || StartStreaming();
   }
-  const auto stream = response_stream_;  // Append() may end the exchange and with it the member
-  stream->AppendAndFree(parser_->get().body().bytes);
-  if (connection_->closed()) return;
-  reading_body_ = false;
-  if (parser_->is_done()) return FinishWithResponse();
-  ReadSomeBody();
+  const auto stream = response_stream_;  // its consumer may end the exchange and with it the member
+  stream->AppendAndFree(reader_->body());
+  return !connection_->closed() && phase_ != Phase::kEnded;
 }
 
-void UpstreamExchange::ContinueBuffering(bool beyond_limit) {
-  const BodyChunk& body = parser_->get().body();
-  const bool long_enough = body.bytes.size() >= kMinStreamedSize && runtime::Now() >= *buffering_until_;
-  const bool full = beyond_limit && (body.capacity >= kBufferLimit ||
-                                     !GrowBodyBuffer(std::min(2 * body.capacity, kBufferLimit)));
-  if (full || long_enough) return StartStreaming();
-  ReadSomeBody();
+// Lets the reader parse as much of a streamed body as its client can take. Returns false if that is nothing.
+bool UpstreamExchange::PrepareStreamCapacity() {
+  if (!response_stream_) return true;
+  const std::size_t capacity = response_stream_->Capacity();
+  // The client reads slowly; its pause does not count against the upstream.
+  if (capacity == 0) {
+    DisarmTimer();
+    return false;
+  }
+  reader_->set_body_capacity(capacity);
+  ArmTimer(runtime::Now() + kResponseIdleTimeout);
+  return true;
 }
 
 // A response that is large by now is streamed. A small one is buffered further: it may be complete before the
 // deadline, or it may break off, and then the request can be retried.
 void UpstreamExchange::OnBufferingTimeout() {
-  if (parser_->get().body().bytes.size() >= kMinStreamedSize) return StartStreaming();
-  ArmTimer(deadline_);
+  if (reader_->body().size() < kMinStreamedSize) return ArmTimer(deadline_);
+  const auto self = shared_from_this();
+  if (StartStreaming()) PrepareStreamCapacity();
 }
 
 // A long response is streamed. From here on there is no deadline, but the upstream must not pause for long.
-void UpstreamExchange::StartStreaming() {
-  if (!hooks_.on_started) return End(Cause::kBroken);
+bool UpstreamExchange::StartStreaming() {
+  if (!hooks_.on_started) {
+    End(Cause::kBroken);
+    return false;
+  }
   buffering_until_.reset();
   HttpResponse head;
-  head.base() = parser_->get().base();
+  head.base() = reader_->head();
   // The stream claims its own memory.
   memory_.ReleaseWindow();
   response_memory_.Set(HeadMemoryBeyondAllowance());
-  StreamedBody streamed_body{std::make_shared<runtime::Stream>(budget_, 0), std::nullopt};
-  if (const auto length = parser_->content_length()) streamed_body.length = *length;
+  StreamedBody streamed_body{std::make_shared<runtime::Stream>(budget_, 0), reader_->content_length()};
   response_stream_ = streamed_body.stream;
-  response_stream_->AppendAndFree(parser_->get().body().bytes);
+  response_stream_->AppendAndFree(reader_->body());
   response_stream_->on_capacity = [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->ReadSomeBody();
+    if (const auto self = weak.lock()) self->Resume();
   };
   DisarmTimer();
   streaming_ = true;
-  // Beast reads as many bytes at a time as the buffer has room for.
-  connection_->buffer().reserve(kMaxUpstreamReadAhead);
+  const bool was_processing = std::exchange(processing_, true);
   hooks_.on_started(std::make_unique<HttpReply>(std::move(head), std::move(streamed_body)));
-  if (reading_body_ && !connection_->closed()) return ArmTimer(runtime::Now() + kResponseIdleTimeout);
-  ReadSomeBody();
+  processing_ = was_processing;
+  return !connection_->closed() && phase_ != Phase::kEnded;
 }
 
 // ---- Ending ----
 
 void UpstreamExchange::FinishWithResponse() {
   // There are more fields than in OnHeader() if the body had trailers.
-  if (HasTooManyFields(parser_->get())) return End(Cause::kBroken);
-  const bool complete = parser_->is_done();
-  const bool keep_alive = parser_->get().keep_alive() && !parser_->need_eof();
-  auto message = parser_->release();
-  HttpResponse response;
-  response.base() = std::move(message.base());
-  response.body() = std::move(message.body().bytes);
-  dispatch::ExchangeResult result{OutcomeOf(response), runtime::Now() - started_at_,
-                                  ParseLoadReport(response["X-Server-Load"]), nullptr};
+  if (HasTooManyFields(reader_->head())) return End(Cause::kBroken);
   // If the response came before the request was fully written, the connection is in the middle of a message
   // and cannot be reused.
-  const bool reusable = keep_alive && complete && written_ && connection_->buffer().size() == 0;
+  const bool reusable =
+      reader_->keep_alive() && reader_->complete() && written_ && !reader_->has_unparsed_bytes();
+  HttpResponse response = reader_->Release();
+  dispatch::ExchangeResult result{OutcomeOf(response), runtime::Now() - started_at_,
+                                  ParseLoadReport(response["X-Server-Load"]), nullptr};
   if (result.outcome == Outcome::kServed && !streaming_) {
     result.reply = std::make_unique<HttpReply>(std::move(response));
   }
@@ -360,7 +403,7 @@
 void UpstreamExchange::End(Cause cause) {
   if (phase_ == Phase::kEnded || pending_end_) return;
   if (connection_->connected()) connection_->DiscardUnsent();
-  Close();
+  CloseConnection();
   if (writer_->pending()) {
     pending_end_ = cause;
     return;
@@ -384,6 +427,12 @@
 }
 
 void UpstreamExchange::Close() {
+  phase_ = Phase::kEnded;
+  hooks_ = {};
+  CloseConnection();
+}
+
+void UpstreamExchange::CloseConnection() {
   if (connection_->closed()) return;
   connection_->Close();
   timer_.cancel();
@@ -409,7 +458,7 @@
 void UpstreamExchange::ReleaseConnection() {
   writer_->Clear();
   request_.message.reset();
-  parser_.reset();
+  reader_.reset();
   connection_->BeginIdle();
   owner_.Release(connection_);
 }
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -12,16 +12,15 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
 #include <memory>
 #include <optional>
 
 #include "dispatch/exchange.h"
 #include "http/exchange_memory.h"
-#include "http/incremental_body.h"
 #include "http/messages.h"
 #include "http/request_writer.h"
+#include "http/response_reader.h"
 #include "http/upstream_connection.h"
 #include "runtime/clock.h"
 #include "runtime/stream.h"
@@ -96,19 +95,23 @@
   std::shared_ptr<RequestWriter> shared_writer() override { return {shared_from_this(), writer_.get()}; }
   void SetWritten();
 
-  // Reading
-  void ReadHeader();
-  void OnHeader(boost::system::error_code error);
+  // Reading. The functions that return a bool return whether the exchange goes on with the next step of the
+  // reader; otherwise it has ended, or waits for capacity of the stream.
+  void AwaitBytes();
+  void Receive();
+  void Resume();
+  bool Process();
+  bool OnStep(ResponseReader::Step step);
+  bool OnHead();
+  bool OnBodyFull();
+  bool ForwardBody();
+  bool PrepareStreamCapacity();
+  void OnUpstreamClosed();
   bool ReserveHead();
   std::size_t HeadMemoryBeyondAllowance() const;
   bool GrowBodyBuffer(std::size_t size);
-  void ReadWholeBody();
-  void OnWholeBody(boost::system::error_code error);
-  void ReadSomeBody();
-  void OnSomeBody(boost::system::error_code error);
-  void ContinueBuffering(bool beyond_limit);
   void OnBufferingTimeout();
-  void StartStreaming();
+  bool StartStreaming();
 
   // Ending
   void FinishWithResponse();
@@ -117,6 +120,7 @@
   // Marks the exchange as ended; no hook is called after this. Returns on_end, which the caller still has to
   // call.
   dispatch::Transport::OnEnd MarkEnded();
+  void CloseConnection();
   void ReleaseRequestBody();
   void ReleaseConnection();
 
@@ -136,7 +140,7 @@
   // classes that the allocator caches (1,032 bytes in glibc).
   const std::unique_ptr<RequestWriter> writer_;
   boost::asio::steady_timer& timer_;  // belongs to the connection
-  std::optional<beast_http::response_parser<IncrementalBody>> parser_;
+  std::optional<ResponseReader> reader_;
   std::shared_ptr<runtime::Stream> response_stream_;  // the body of a response that is being streamed
   Phase phase_ = Phase::kEnded;
   std::optional<Cause> pending_end_;  // cause of an end that waits for the pending write
@@ -145,7 +149,8 @@
   bool written_ = false;           // the last byte of the request was written
   bool abandoned_ = false;         // the request has its final answer and must not be written any more
   bool streaming_ = false;         // the response is, or was, streamed
-  bool reading_body_ = false;      // a read of ReadSomeBody() is pending
+  bool awaiting_bytes_ = false;    // a wait for readability is pending
+  bool processing_ = false;        // guards Process() against re-entry
   // Until when a response of unknown length is buffered before it is streamed.
   std::optional<runtime::TimePoint> buffering_until_;
   runtime::TimePoint started_at_;  // when the request's timeout began to run, see Request::timeout
