Connection phases test: the network has delivered what was sent before the clock moves on

Cause: the test's clock moves 2.5 s in milliseconds while the last part of the 1 MB was still under way on loopback; the sidecar rightly reads what has arrived before it ends a connection. Under strace, which is slower, the row passed. Change: SendAll() waits until the other side has acknowledged what was written (SIOCOUTQ), 200 ms at most as before for a side that does not read. Limits and expectations are as they were.

--- a/tests/http/listener_fixture.h
+++ b/tests/http/listener_fixture.h
@@ -3,6 +3,7 @@
 // client act between two of them.
 #pragma once
 
+#include <linux/sockios.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <time.h>
@@ -129,7 +130,7 @@
     }
     if (replies_at_once && !streamed_body) Reply(forwarded_request);
     return {[&forwarded_request] { forwarded_request.disconnected = true; },
-            [this, &forwarded_request] {
+            [this, &forwarded_request](runtime::TimePoint) {
               forwarded_request.complete = true;
               if (replies_at_once) Reply(forwarded_request);
             }};
@@ -229,9 +230,21 @@
       if (size == 0) ::poll(nullptr, 0, 1);
       RunUntilIdle();
     }
+    AwaitDelivery(client);
     return sent;
   }
 
+  // Waits until the other side's kernel has what was written, if it takes that at all: the tests' clock moves
+  // on faster than the network.
+  void AwaitDelivery(Client& client) {
+    int undelivered = 1;
+    for (int i = 0; i < 200 && undelivered > 0; ++i) {
+      if (::ioctl(client.socket.native_handle(), SIOCOUTQ, &undelivered) != 0) return;
+      if (undelivered > 0) ::poll(nullptr, 0, 1);
+      RunUntilIdle();
+    }
+  }
+
   enum class DisconnectKind { kClose, kReset };
   // Disconnects the client and waits until the listener's kernel socket has seen it.
   void Disconnect(Client& client, DisconnectKind disconnect_kind) {
