Uploads: the client's time counts while the sidecar holds it back

Seen by callers: a request whose upstream stopped reading got 503 after 15 s, one read at 90 kB/s 504 after 27 s, where the client waited 0.8 s; in the report nothing until the client gave up 3.6 s after its time. Cause: the deadline began when the last byte was read from the client, and nothing is read while the upstream does not take what was read before. The client has long written everything: the rest lies in the kernel's buffers. Change: UploadArrival, a pure value, keeps the last moment at which the body was certainly not complete: nothing unread, or more missing than the buffers hold (known length), or more arrived since than the client's send buffer holds. Bodies that their upstream takes fast, and slow clients, are not affected.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -167,7 +167,10 @@
   ReleaseReadBuffer();
   // Whether the upstream consumes the body more slowly than it arrives.
   const bool stalled = upload_ && upload_->Capacity() == 0;
-  if (stalled) body_deadline_.Pause(runtime::Now());
+  if (stalled) {
+    body_deadline_.Pause(runtime::Now());
+    ObserveUpload(runtime::Now());
+  }
   const bool buffer_full = reader_.buffer().size() == reader_.buffer().max_size();
   if (stalled || buffer_full || (pipeline_overflowed_ && linger_.discarded_bytes() > kMaxLingerBytes)) {
     owner_->CheckForDisconnects();
@@ -205,7 +208,10 @@
   if (runtime::WouldBlock(error)) return Read();
   if (error) return Close();
   buffer.commit(received);
+  received_bytes_ += received;
   Progress();
+  // The socket was read empty, so a body that is all parsed and not complete is still being sent.
+  if (received < size && upload_ && buffer.size() == 0) ObserveUpload(runtime::Now());
 }
 
 // A long body is read in larger pieces if memory allows, but not in more than the upload can take.
@@ -426,6 +432,7 @@
   upload_->on_capacity = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->Progress();
   };
+  upload_arrival_.Begin(received_bytes_, runtime::Now());
   const auto upload = upload_;  // Serve() may reset the member
   Serve(std::move(request), StreamedBody{upload, reader_.content_length()});
   if (upload_) ForwardChunk();
@@ -456,10 +463,29 @@
   const auto upload = std::exchange(upload_, nullptr);
   reader_.DropTrailers();
   if (reader_.NextRequestIsInvalid()) close_after_ = true;
-  if (const auto on_complete = std::exchange(observer_.on_complete, nullptr)) on_complete();
+  ObserveUpload(runtime::Now());
+  if (const auto on_complete = std::exchange(observer_.on_complete, nullptr)) {
+    on_complete(upload_arrival_.last_byte_at());
+  }
   upload->End(runtime::Stream::State::kComplete);
 }
 
+void ClientConnection::ObserveUpload(runtime::TimePoint now) {
+  error_code error;
+  const std::size_t in_kernel = socket_.available(error);
+  const std::size_t unread = reader_.buffer().size() + in_kernel;
+  upload_arrival_.Observe({received_bytes_ + in_kernel, unread, reader_.missing_body()}, now);
+}
+
+void ClientConnection::CheckUpload(runtime::TimePoint now) {
+  if (closed_ || !upload_ || !observer_.on_complete) return;
+  ObserveUpload(now);
+  const runtime::TimePoint last_byte_at = upload_arrival_.last_byte_at();
+  if (now - last_byte_at < observer_.answer_time) return;
+  const auto self = shared_from_this();  // the handler may answer the request at once
+  std::exchange(observer_.on_complete, nullptr)(last_byte_at);
+}
+
 // After a malformed request the message boundaries are unknown, so nothing after it on this connection is
 // parsed as a request.
 void ClientConnection::Reject(beast_http::status status, const std::string& reason) {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -25,6 +25,7 @@
 #include "http/request_handler.h"
 #include "http/request_reader.h"
 #include "http/response_writer.h"
+#include "http/upload_arrival.h"
 #include "runtime/clock.h"
 #include "runtime/descriptors.h"
 #include "runtime/stream.h"
@@ -81,6 +82,9 @@
   void HalfClose();
   // Closes without waiting any longer for the client's close.
   void CloseNow();
+  // Tells the handler of the current request if its client may have been waiting for the whole time that it
+  // allows, although its body is not read to the end.
+  void CheckUpload(runtime::TimePoint now);
   // Ends the connection if its current phase has exceeded its timeout.
   void CloseIfOverdue(runtime::TimePoint now);
 
@@ -137,6 +141,7 @@
   bool ContinueUpload(const RequestReader::Step& step);
   bool ForwardChunk();
   void FinishUpload();
+  void ObserveUpload(runtime::TimePoint now);
   void Reject(beast_http::status status, const std::string& reason);
   void RejectForMemory();
   void Respond(HttpResponse response, StreamedBody streamed_body = {});
@@ -170,6 +175,8 @@
   // Of the current request, and of the rest of its body after the response was sent. Paused while nothing is
   // read because the upload is not consumed.
   BodyDeadline body_deadline_;
+  UploadArrival upload_arrival_;      // of the current upload
+  std::uint64_t received_bytes_ = 0;  // read from the socket since the start of the connection
   Phase phase_ = Phase::kReading;
   runtime::TimePoint since_;
   unsigned http_version_ = 11;       // of the current request
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -168,7 +168,10 @@
     return {};
   }
   return {[this, id = *id] { dispatcher_.OnClientDisconnected(id); },
-          [this, id = *id, timeout] { dispatcher_.OnRequestComplete(id, runtime::Now() + timeout); }};
+          [this, id = *id, timeout](runtime::TimePoint last_byte_at) {
+            dispatcher_.OnRequestComplete(id, last_byte_at + timeout);
+          },
+          timeout};
 }
 
 std::variant<HttpFrontend::RequestAttributes, HttpFrontend::InvalidRequest> HttpFrontend::Parse(
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -161,6 +161,7 @@
   const bool keeps_new = draining_for < max_drain_time_ - kLingerTimeout;
   const bool closes = quiescing() && connection.Idle() && !(keeps_new && connection.IsNew(now));
   if (closes && !connection.HasUnreadBytes()) connection.HalfClose();
+  connection.CheckUpload(now);
   connection.CloseIfOverdue(now);
   if (!connection.ReadsNothing()) return;
   if (connection.ClientDisconnected()) {
--- a/src/http/request_handler.h
+++ b/src/http/request_handler.h
@@ -6,6 +6,7 @@
 #include <functional>
 
 #include "http/messages.h"
+#include "runtime/clock.h"
 
 namespace mothrack::http {
 
@@ -17,8 +18,11 @@
 struct RequestObserver {
   // The client disconnected before its response was complete; the response is no longer needed.
   std::function<void()> on_disconnect;
-  // The last byte of a request whose body was still arriving has arrived.
-  std::function<void()> on_complete;
+  // The last byte of a request whose body was still arriving has arrived, or may have arrived although it is
+  // not read. The client's time counts from `last_byte_at`. Called once at most.
+  std::function<void(runtime::TimePoint last_byte_at)> on_complete;
+  // How long the client waits for its answer, from its last byte on.
+  runtime::Duration answer_time = runtime::Duration::max();
 };
 
 // Handles one request, whose body may still be arriving. The handler may move from `request`. It is a
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -78,6 +78,11 @@
   return std::nullopt;
 }
 
+std::optional<std::uint64_t> RequestReader::missing_body() const {
+  if (const auto missing = parser_->content_length_remaining()) return *missing;
+  return std::nullopt;
+}
+
 HttpRequest RequestReader::Release() {
   auto message = parser_->release();
   HttpRequest request;
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -60,6 +60,8 @@
   bool in_body() const { return parser_->is_header_done(); }
   // From Content-Length; absent if the body is chunked.
   std::optional<std::uint64_t> content_length() const;
+  // How much of the body is not parsed yet; absent if the body is chunked, or not begun.
+  std::optional<std::uint64_t> missing_body() const;
   // Whether the head announces a body.
   bool has_body() const;
   const beast_http::request_header<>& head() const { return parser_->get(); }
