Load shedding and latency go by the first byte of an answer, not by its last

Seen by callers: 'refusing: overload, answers come late' and 503 beside long answers while no upstream was busy. Cause: the time to the end of a buffered answer, or to the moment in which it began to be streamed (up to 1 s after its head), counted as its latency, and an answer that stalled counted as late, so slow bodies raised the rejected share and the upstream's slowness. Change: the transport reports how long the head of a 200 took; lateness and latency go by that, failures and ejections as before.

--- a/src/balancer/events.h
+++ b/src/balancer/events.h
@@ -83,6 +83,8 @@
 struct AnswerStarted {
   RequestId request{};
   AttemptId attempt{};
+  // From the send to the first byte of the answer, which may be earlier than this event; absent: now.
+  std::optional<Duration> answer_time{};
 };
 
 struct AttemptEnded {
@@ -92,6 +94,8 @@
   Duration elapsed{};     // since it was sent
   bool finished = false;  // the client needs no further answer, usually since this attempt was served
   LoadReport load;
+  // From the send to the first byte of a successful answer, if one began; `elapsed` includes its body.
+  std::optional<Duration> answer_time{};
 };
 
 // The client closed its connection, so the request no longer needs a final answer.
--- a/src/balancer/fleet.cpp
+++ b/src/balancer/fleet.cpp
@@ -98,12 +98,13 @@
   return use;
 }
 
-void Fleet::RecordOutcome(const Request& request, const Attempt& attempt, Duration elapsed) {
+void Fleet::RecordOutcome(const Request& request, const Attempt& attempt, Duration elapsed,
+                          const AnswerTiming& answer) {
   const Outcome outcome = *attempt.outcome;
   Upstream& upstream = *attempt.upstream;
   connections_.RecordOutcome(upstream.connection, attempt.connection, outcome, elapsed,
                              latency_.UsualTime(request.class_index), context_.now);
-  if (!attempt.started) RecordAnswerTime(request, attempt, outcome, elapsed);
+  if (!attempt.started) RecordAnswerTime(request, attempt, answer.outcome, answer.elapsed);
   RecordZoneOutcome(attempt, outcome);
   RecordHealth(upstream, attempt, outcome);
   if (outcome == Outcome::kServed) request_rate_.RecordServed();
--- a/src/balancer/fleet.h
+++ b/src/balancer/fleet.h
@@ -51,8 +51,10 @@
     attempt.upstream->in_flight.waiting_since = context_.now;
   }
   void RecordAnswerTime(const Request& request, const Attempt& attempt, Outcome outcome, Duration elapsed);
-  // An attempt has ended, and `attempt.outcome` is set.
-  void RecordOutcome(const Request& request, const Attempt& attempt, Duration elapsed);
+  // An attempt has ended, and `attempt.outcome` is set. `answer`: what its latency shows, unless that was
+  // recorded when its answer began.
+  void RecordOutcome(const Request& request, const Attempt& attempt, Duration elapsed,
+                     const AnswerTiming& answer);
   // The attempt `winner`, a hedge, was served before other attempts of the request.
   void RecordOvertaken(const Request& request, const Attempt& winner);
   // The request is late: records the upstreams of its unanswered attempts as not answering.
--- a/src/balancer/request.h
+++ b/src/balancer/request.h
@@ -25,6 +25,12 @@
   bool IsUnanswered() const { return !outcome && upstream->in_flight.waiting_since <= sent; }
 };
 
+// What the end of an attempt says about its upstream's latency.
+struct AnswerTiming {
+  Outcome outcome{};
+  Duration elapsed{};
+};
+
 // An upstream that was sent a load probe on behalf of a request.
 struct ProbedUpstream {
   UpstreamPtr upstream;
--- a/src/balancer/request_handler.cpp
+++ b/src/balancer/request_handler.cpp
@@ -8,6 +8,17 @@
 
 namespace mothrack::balancer {
 
+namespace {
+
+// How long a body takes depends on its size, so an answer is as late as its first byte.
+AnswerTiming TimingOf(const AttemptEnded& event) {
+  const bool timed = event.outcome == Outcome::kServed || event.outcome == Outcome::kTimeout;
+  if (timed && event.answer_time) return {Outcome::kServed, *event.answer_time};
+  return {event.outcome, event.elapsed};
+}
+
+}  // namespace
+
 RequestHandler::RequestHandler(Context& context, Fleet& fleet)
     : context_(context),
       fleet_(fleet),
@@ -65,9 +76,9 @@
   request->streaming = attempt->started = true;
   RecordReleased(*attempt);
   fleet_.RecordAnswerStarted(*attempt);
-  const Duration elapsed = context_.now - attempt->sent;
-  RecordLateness(*request, *attempt, Outcome::kServed, elapsed);
-  fleet_.RecordAnswerTime(*request, *attempt, Outcome::kServed, elapsed);
+  const Duration answer_time = event.answer_time.value_or(context_.now - attempt->sent);
+  RecordLateness(*request, *attempt, Outcome::kServed, answer_time);
+  fleet_.RecordAnswerTime(*request, *attempt, Outcome::kServed, answer_time);
   for (std::size_t i = 0; i < request->attempts.size(); ++i) {
     if (i != static_cast<std::size_t>(event.attempt)) Cancel(*request, i);
   }
@@ -80,8 +91,9 @@
   attempt->outcome = event.outcome;
   ++context_.counts.ended[static_cast<std::size_t>(event.outcome)];
   RecordReleased(*attempt);
-  if (!attempt->started) RecordLateness(*request, *attempt, event.outcome, event.elapsed);
-  fleet_.RecordOutcome(*request, *attempt, event.elapsed);
+  const AnswerTiming answer = TimingOf(event);
+  if (!attempt->started) RecordLateness(*request, *attempt, answer.outcome, answer.elapsed);
+  fleet_.RecordOutcome(*request, *attempt, event.elapsed, answer);
   if (request->streaming && !attempt->started) {
     // This attempt was cancelled because another one's answer is being streamed. Nothing is left to decide.
   } else if (event.finished) {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -169,7 +169,8 @@
 }
 
 // The client gets this attempt's answer; the module cancels the other attempts.
-void Dispatcher::OnAnswerStarted(RequestId id, AttemptId attempt, std::unique_ptr<Reply> reply) {
+void Dispatcher::OnAnswerStarted(RequestId id, AttemptId attempt, std::unique_ptr<Reply> reply,
+                                 runtime::Duration answer_time) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
   PendingRequest& pending = it->second;
@@ -186,7 +187,7 @@
   final.attempts = pending.attempts.size();
   {
     const ScopedFlag delivering(delivering_);
-    events_.emplace_back(balancer::AnswerStarted{id, attempt});
+    events_.emplace_back(balancer::AnswerStarted{id, attempt, answer_time});
     on_final(std::move(final));  // may erase `pending`
   }
   if (!delivering_) ProcessEvents();
@@ -208,7 +209,8 @@
   {
     // The module gets this event before those that the front end causes in turn, such as the next request.
     const ScopedFlag delivering(delivering_);
-    events_.emplace_back(AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load});
+    events_.emplace_back(
+        AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load, result.answer_time});
     if (!served) {
       pending.last_reply = std::move(result.reply);
     } else if (Finish(pending, RequestEvent::kFinalGiven, RequestCounters::Outcome::kServed)) {
@@ -278,8 +280,9 @@
   hooks.on_written = [this, request_class = pending.request_class, tenant = pending.tenant] {
     request_counters_.CountSent(request_class, tenant);
   };
-  hooks.on_started = [this, id = action.request, attempt](std::unique_ptr<Reply> reply) {
-    OnAnswerStarted(id, attempt, std::move(reply));
+  hooks.on_started = [this, id = action.request, attempt](std::unique_ptr<Reply> reply,
+                                                          runtime::Duration answer_time) {
+    OnAnswerStarted(id, attempt, std::move(reply), answer_time);
   };
   hooks.on_end = [this, id = action.request, attempt](ExchangeResult result) {
     OnAttemptEnded(id, attempt, std::move(result));
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -115,7 +115,8 @@
   runtime::TimePoint Now() const { return timers_.Now(); }
   void ProcessEvents();
   void UpdateMembership(MembershipList list);
-  void OnAnswerStarted(balancer::RequestId id, balancer::AttemptId attempt, std::unique_ptr<Reply> reply);
+  void OnAnswerStarted(balancer::RequestId id, balancer::AttemptId attempt, std::unique_ptr<Reply> reply,
+                       runtime::Duration answer_time);
   void OnAttemptEnded(balancer::RequestId id, balancer::AttemptId attempt, ExchangeResult result);
   void GiveFinal(balancer::RequestId id, FinalAnswer final);
   // Stops the attempts whose message is not yet completely written. Called when the request needs no answer
--- a/src/dispatch/exchange.h
+++ b/src/dispatch/exchange.h
@@ -73,6 +73,8 @@
   balancer::LoadReport load{};
   // Set if served, or if the upstream's answer may be passed on to the client.
   std::unique_ptr<Reply> reply;
+  // Set if a successful answer began: how long after the message was sent. `elapsed` includes its body.
+  std::optional<runtime::Duration> answer_time{};
 };
 
 // The time limits of an attempt, counted from now, or from the last byte of a message that is still arriving.
@@ -87,8 +89,9 @@
 // Callbacks of an exchange: on_end is called exactly once, the others at most once before it.
 struct ExchangeHooks {
   std::function<void()> on_written;  // the last byte of its message was written
-  // An answer has begun and its body is still arriving; on_end says whether it was completed.
-  std::function<void(std::unique_ptr<Reply>)> on_started;
+  // An answer began `answer_time` after the message was sent, and its body is still arriving; on_end says
+  // whether it was completed.
+  std::function<void(std::unique_ptr<Reply>, runtime::Duration answer_time)> on_started;
   std::function<void(ExchangeResult)> on_end;
 };
 
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -268,6 +268,7 @@
   const bool buffers = (status != 200 || (length && *length <= kBufferLimit)) &&
                        GrowBodyBuffer(std::min<std::uint64_t>(length.value_or(kBufferLimit), kBufferLimit));
   if (status != 200) return true;
+  answer_time_ = runtime::Now() - started_at_;
   if (length && !buffers) return StartStreaming();
   BeginBuffering();
   return true;
@@ -384,7 +385,7 @@
   DisarmTimer();
   streaming_ = true;
   const bool was_processing = std::exchange(processing_, true);
-  hooks_.on_started(std::make_unique<HttpReply>(std::move(head), std::move(streamed_body)));
+  hooks_.on_started(std::make_unique<HttpReply>(std::move(head), std::move(streamed_body)), *answer_time_);
   processing_ = was_processing;
   return !connection_->closed() && phase_ != Phase::kEnded;
 }
@@ -400,7 +401,7 @@
       reader_->keep_alive() && reader_->complete() && written_ && !reader_->has_unparsed_bytes();
   HttpResponse response = reader_->Release();
   dispatch::ExchangeResult result{OutcomeOf(response), runtime::Now() - started_at_,
-                                  ParseLoadReport(response["X-Server-Load"]), nullptr};
+                                  ParseLoadReport(response["X-Server-Load"]), nullptr, answer_time_};
   if (result.outcome == Outcome::kServed && !streaming_) {
     result.reply = std::make_unique<HttpReply>(std::move(response));
   }
@@ -447,7 +448,7 @@
   const Outcome outcome = OutcomeOf(cause, written_);
   const auto self = shared_from_this();
   const auto on_end = MarkEnded();
-  on_end({outcome, runtime::Now() - started_at_, {}, nullptr});
+  on_end({outcome, runtime::Now() - started_at_, {}, nullptr, answer_time_});
   if (stream) stream->End(runtime::Stream::State::kTruncated);
 }
 
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -162,6 +162,7 @@
     runtime::TimePoint until;
   };
   std::optional<Buffering> buffering_;
+  std::optional<runtime::Duration> answer_time_;  // from `started_at_` to the head of a 200
   runtime::TimePoint started_at_;  // when the request's timeouts began to run, see Request::timeouts
   runtime::TimePoint deadline_;    // of a response that has not begun
   // Of a response that has begun: when it is passed on, and when it is given up instead.
--- a/tests/balancer/helpers.h
+++ b/tests/balancer/helpers.h
@@ -101,9 +101,16 @@
     return arrival.request;
   }
 
-  void EndAttempt(const SentAttempt& sent, Outcome outcome, bool finished = false) {
-    Handle(AttemptEnded{
-        sent.request, sent.attempt, outcome, now - sent.at, finished || outcome == Outcome::kServed, {}});
+  // `answer_time`: when its answer began, if that was before its end.
+  void EndAttempt(const SentAttempt& sent, Outcome outcome, bool finished = false,
+                  std::optional<Duration> answer_time = std::nullopt) {
+    Handle(AttemptEnded{sent.request,
+                        sent.attempt,
+                        outcome,
+                        now - sent.at,
+                        finished || outcome == Outcome::kServed,
+                        {},
+                        answer_time});
   }
 
   // Advances the clock and fires the timers that become due meanwhile, in order.
--- a/tests/balancer/overload_test.cpp
+++ b/tests/balancer/overload_test.cpp
@@ -32,7 +32,7 @@
       sidecar.Advance(gap);
       while (!pending.empty() && sidecar.now - pending.front().at >= time) {
         const Outcome end = outcome(pending.front());
-        sidecar.EndAttempt(pending.front(), end, end != Outcome::kServed);
+        sidecar.EndAttempt(pending.front(), end, end != Outcome::kServed, answer_time);
         pending.pop_front();
       }
     }
@@ -41,6 +41,7 @@
 
   TestSidecar& sidecar;
   std::deque<SentAttempt> pending{};
+  std::optional<Duration> answer_time{};  // when answers begin; absent: when they end
 };
 
 TEST(Overload, LateAnswersShedAShareOfRequestsUntilAnswersAreInTimeAgain) {
@@ -57,6 +58,23 @@
   EXPECT_TRUE(sidecar.HasLogged("taking calls again"));
 }
 
+// Guards against this failure: long answers were taken for late ones, and most requests were rejected while
+// no upstream was busy.
+TEST(Overload, LongAnswersThatBeginInTimeAreNoOverload) {
+  for (const Outcome outcome : {Outcome::kServed, Outcome::kTimeout}) {
+    TestSidecar sidecar;
+    sidecar.ListUpstreams(4);
+    LoadGenerator load{sidecar};
+    load.Run(300, 10ms, 100ms);
+    load.answer_time = 100ms;
+    const auto ends_long_answers = [outcome](const SentAttempt&) { return outcome; };
+    // Few enough time-outs that no upstream is ejected.
+    EXPECT_EQ(load.Run(outcome == Outcome::kServed ? 600 : 3, 10ms, 1500ms, ends_long_answers),
+              outcome == Outcome::kServed ? 600u : 3u);
+    EXPECT_FALSE(sidecar.HasLogged("refusing: overload"));
+  }
+}
+
 // After an overload the upstreams past slow start have almost no weight, so the few admitted requests go to
 // upstreams in slow start. Their late answers do not count, but their answers in time must.
 TEST(Overload, EndsWhenAdmittedRequestsGoToUpstreamsInSlowStart) {
--- a/tests/dispatch/dispatch_history_transport.cpp
+++ b/tests/dispatch/dispatch_history_transport.cpp
@@ -131,7 +131,7 @@
   const bool unneeded = requests_[attempt.request_number].ended();
   if (unneeded) ++situations_["answer started after the request ended"];
   const auto on_started = std::move(attempt.hooks.on_started);
-  on_started(std::make_unique<Answer>(id));
+  on_started(std::make_unique<Answer>(id), sim_.now() - attempt.sent);
   Check(!unneeded || attempt.cancelled, "an attempt whose answer is not needed was not cancelled");
 }
 
--- a/tests/http/transport_test.cpp
+++ b/tests/http/transport_test.cpp
@@ -107,7 +107,7 @@
     request.prepare_payload();
     dispatch::ExchangeHooks hooks;
     hooks.on_written = [this] { ++written; };
-    hooks.on_started = [this](std::unique_ptr<dispatch::Reply> reply) {
+    hooks.on_started = [this](std::unique_ptr<dispatch::Reply> reply, runtime::Duration) {
       started.push_back(std::move(reply));
     };
     hooks.on_end = [this](dispatch::ExchangeResult result) {
