Uploads: a body that was held back counts from when it was last known to be incomplete

Cause: the body had been held back for 0.9 s and was then read to its end; at that moment nothing was unread, which counted as the client still sending. Trace: sent at 141 ms with 2,052 ms to wait, answered at 3,055 ms, so the time began at 1,003 ms. Change: once the sidecar has not read on, the end of the body counts from the last moment at which it was known to be incomplete. upload_arrival_test fails without the change.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -463,7 +463,7 @@
   const auto upload = std::exchange(upload_, nullptr);
   reader_.DropTrailers();
   if (reader_.NextRequestIsInvalid()) close_after_ = true;
-  ObserveUpload(runtime::Now());
+  upload_arrival_.OnComplete(runtime::Now());
   if (const auto on_complete = std::exchange(observer_.on_complete, nullptr)) {
     on_complete(upload_arrival_.last_byte_at());
   }
@@ -475,6 +475,7 @@
   const std::size_t in_kernel = socket_.available(error);
   const std::size_t unread = reader_.buffer().size() + in_kernel;
   upload_arrival_.Observe({received_bytes_ + in_kernel, unread, reader_.missing_body()}, now);
+  if (upload_->Capacity() == 0) upload_arrival_.OnHeldBack();
 }
 
 void ClientConnection::CheckUpload(runtime::TimePoint now) {
--- a/src/http/upload_arrival.h
+++ b/src/http/upload_arrival.h
@@ -34,17 +34,30 @@
   // The body begins to arrive, and is not complete.
   void Begin(std::uint64_t received, runtime::TimePoint now) {
     last_byte_at_ = now;
+    held_back_ = false;
     checkpoint_ = {received, now};
   }
 
   void Observe(const Observation& observation, runtime::TimePoint now) {
     const bool too_long = observation.missing && *observation.missing > observation.unread + kMaxSendBuffer;
-    if (observation.unread == 0 || too_long) last_byte_at_ = now;
+    if (observation.unread == 0 || too_long) {
+      last_byte_at_ = now;
+      held_back_ = false;
+    }
     if (observation.received < checkpoint_.received + kMaxSendBuffer) return;
     last_byte_at_ = std::max(last_byte_at_, checkpoint_.at);
     checkpoint_ = {observation.received, now};
   }
 
+  // The sidecar does not read on for now.
+  void OnHeldBack() { held_back_ = true; }
+
+  // The last byte was read. It arrived just now, unless the client was held back since the body was last
+  // known to be incomplete.
+  void OnComplete(runtime::TimePoint now) {
+    if (!held_back_) last_byte_at_ = now;
+  }
+
   // The client may have sent its last byte at this time, and not before.
   runtime::TimePoint last_byte_at() const { return last_byte_at_; }
 
@@ -56,6 +69,7 @@
   };
 
   runtime::TimePoint last_byte_at_;
+  bool held_back_ = false;
   Checkpoint checkpoint_;
 };
 
--- a/tests/http/upload_arrival_test.cpp
+++ b/tests/http/upload_arrival_test.cpp
@@ -30,6 +30,19 @@
   EXPECT_EQ(arrival.last_byte_at(), kBegin);
 }
 
+// Guards against this failure: a body that was held back and then read to its end counted as arrived only
+// then.
+TEST_F(UploadArrivalTest, ABodyThatWasHeldBackCountsFromWhenItWasLastIncomplete) {
+  arrival.OnComplete(kBegin + seconds(1));
+  EXPECT_EQ(arrival.last_byte_at(), kBegin + seconds(1));
+  arrival.OnHeldBack();
+  arrival.OnComplete(kBegin + seconds(2));
+  EXPECT_EQ(arrival.last_byte_at(), kBegin + seconds(1));
+  arrival.Observe({5000, 0, std::nullopt}, kBegin + seconds(3));
+  arrival.OnComplete(kBegin + seconds(4));
+  EXPECT_EQ(arrival.last_byte_at(), kBegin + seconds(4));
+}
+
 TEST_F(UploadArrivalTest, ABodyThatTheBuffersCannotHoldIsStillBeingSent) {
   arrival.Observe({5000, 1000, 1001 + kSendBuffer}, kBegin + seconds(9));
   EXPECT_EQ(arrival.last_byte_at(), kBegin + seconds(9));
