Planned stop: requests that are still open shortly before SIGKILL are failed

Cause: a planned stop waited for requests until the process was killed; one that came late in the stop may have a deadline after that. Change: 150 ms before the end of the stop the listener gives each open request a final answer, 504, since it may have run. Requests that came before SIGTERM have had their deadline by then.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -94,6 +94,12 @@
   Close();
 }
 
+void ClientConnection::FailRequest() {
+  if (closed_ || phase_ != Phase::kServing) return;
+  EndRequest();
+  Reject(beast_http::status::gateway_timeout, "no answer before the end of the process");
+}
+
 void ClientConnection::CloseIfOverdue(runtime::TimePoint now) {
   if (closed_ || !IsOverdue(now)) return;
   if (phase_ != Phase::kReading && phase_ != Phase::kServing) return CloseNow();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -80,6 +80,9 @@
   // last check and this call does not cause an RST: the client sees the half-close and closes its side, and
   // only then is this side closed.
   void HalfClose();
+  // The process is about to be killed: fails the request that is being served, if there is one, so that its
+  // client gets a final answer.
+  void FailRequest();
   // Closes without waiting any longer for the client's close.
   void CloseNow();
   // Tells the handler of the current request if its client may have been waiting for the whole time that it
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -35,6 +35,9 @@
 constexpr runtime::Duration kKillAfter = milliseconds(700);
 // The stop must be complete this long before SIGKILL.
 constexpr runtime::Duration kKillMargin = milliseconds(50);
+// Requests that are still open this long before the end of a planned stop are failed, so that their clients
+// can read that.
+constexpr runtime::Duration kLastAnswers = milliseconds(150);
 
 // Returns how long a planned stop may take.
 runtime::Duration MaxDrainTime(runtime::Duration longest_deadline) {
@@ -157,6 +160,7 @@
 void Listener::SweepConnection(ClientConnection& connection, runtime::TimePoint now,
                                runtime::Duration draining_for) {
   if (draining_for >= max_drain_time_ && connection.AwaitsClose()) return connection.CloseNow();
+  if (draining_for >= max_drain_time_ - kLastAnswers) connection.FailRequest();
   // Near the end of the stop there is no time left to wait for a request on a new connection.
   const bool keeps_new = draining_for < max_drain_time_ - kLingerTimeout;
   const bool closes = quiescing() && connection.Idle() && !(keeps_new && connection.IsNew(now));
