--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -54,7 +54,8 @@
       on_subscribe_(std::move(on_subscribe)),
       request_counters_(settings.classes.size(), settings.tenants.size()),
       keys_(KeyRetention(settings), kMaxEndedKeys),
-      timers_(std::move(timer), [this](std::uint64_t token) { Deliver(balancer::TimerFired{token}); }) {}
+      timers_(std::move(timer), [this](std::uint64_t token) { Deliver(balancer::TimerFired{token}); }),
+      request_log_(log, Now()) {}
 
 void Dispatcher::ProcessEvents() {
   {
@@ -241,6 +242,10 @@
                        : final.late ? RequestCounters::Outcome::kLate
                                     : RequestCounters::Outcome::kFailed;
   if (Finish(it->second, RequestEvent::kFinalGiven, outcome)) {
+    const auto request_class = static_cast<std::size_t>(it->second.request_class);
+    request_log_.NotServed({it->second.key, settings_.classes[request_class].name, rejected, final.late,
+                            IsArriving(it->second.state), final.attempts, final.last},
+                           Now());
     const auto on_final = std::exchange(it->second.on_final, nullptr);
     on_final(std::move(final));
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -20,6 +20,7 @@
 #include "dispatch/membership.h"
 #include "dispatch/recent_request_ids.h"
 #include "dispatch/request_counters.h"
+#include "dispatch/request_log.h"
 #include "dispatch/request_state.h"
 #include "dispatch/upstream_overrides.h"
 #include "runtime/clock.h"
@@ -157,6 +158,7 @@
   std::uint64_t last_request_ = 0;
   std::uint64_t last_exchange_ = 0;
   runtime::TimerQueue timers_;
+  RequestLog request_log_;
 };
 
 }  // namespace mothrack::dispatch
--- /dev/null
+++ b/src/dispatch/request_log.cpp
@@ -0,0 +1,50 @@
+#include "dispatch/request_log.h"
+
+#include <string_view>
+#include <utility>
+
+namespace mothrack::dispatch {
+namespace {
+
+std::string_view NameOf(const std::optional<balancer::Outcome>& outcome) {
+  using balancer::Outcome;
+  if (!outcome) return "none";
+  switch (*outcome) {
+    case Outcome::kServed:
+      return "served";
+    case Outcome::kError:
+      return "error";
+    case Outcome::kFull:
+      return "full";
+    case Outcome::kTimeout:
+      return "timeout";
+    case Outcome::kConnectFailed:
+      return "connect_failed";
+    case Outcome::kReset:
+      return "reset";
+    case Outcome::kCancelled:
+      return "cancelled";
+    case Outcome::kNotSent:
+      return "not_sent";
+  }
+  return "none";
+}
+
+}  // namespace
+
+void RequestLog::NotServed(const Entry& entry, runtime::TimePoint now) {
+  if (!limiter_.Take(now)) {
+    ++left_out_;
+    return;
+  }
+  log_.Info("request_not_served", {{"id", entry.id},
+                                   {"class", entry.request_class},
+                                   {"answer", entry.rejected ? "rejected" : "failed"},
+                                   {"deadline", entry.late ? "passed" : "open"},
+                                   {"body", entry.arriving ? "arriving" : "complete"},
+                                   {"attempts", entry.attempts},
+                                   {"last", NameOf(entry.last_outcome)},
+                                   {"left_out", std::exchange(left_out_, 0)}});
+}
+
+}  // namespace mothrack::dispatch
