Request ids: a flood of repeatable requests does not displace the ids of the others

Change: ids of requests that may be repeated are kept apart, with the same bound. The bound for the others stands: a flood of unsafe requests that were served still shortens it.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -269,7 +269,9 @@
   if (delivering_) return possibly_done_.push_back(id);
   const auto it = requests_.find(id);
   if (it == requests_.end() || AwaitsFinal(it->second.state) || it->second.attempts_in_flight > 0) return;
-  if (!it->second.key.empty()) keys_.OnRequestEnded(std::move(it->second.key), Now());
+  const auto effect = settings_.classes[static_cast<std::size_t>(it->second.request_class)].effect;
+  const bool repeatable = effect == balancer::Effect::kSafe;
+  if (!it->second.key.empty()) keys_.OnRequestEnded(std::move(it->second.key), Now(), repeatable);
   requests_.erase(it);
 }
 
--- a/src/dispatch/recent_request_ids.cpp
+++ b/src/dispatch/recent_request_ids.cpp
@@ -11,14 +11,19 @@
   if (Insert(id, now)) OnRequestEnded(id, now);
 }
 
-void RecentRequestIds::OnRequestEnded(std::string id, runtime::TimePoint now) {
-  ended_.emplace_back(now, std::move(id));
+void RecentRequestIds::OnRequestEnded(std::string id, runtime::TimePoint now, bool repeatable) {
+  (repeatable ? ended_repeatable_ : ended_).emplace_back(now, std::move(id));
 }
 
 void RecentRequestIds::Expire(runtime::TimePoint now) {
-  while (!ended_.empty() && (ended_.size() > max_ended_ || now - ended_.front().first > retention_)) {
-    ids_.erase(ended_.front().second);
-    ended_.pop_front();
+  Expire(ended_, now);
+  Expire(ended_repeatable_, now);
+}
+
+void RecentRequestIds::Expire(Ended& ended, runtime::TimePoint now) {
+  while (!ended.empty() && (ended.size() > max_ended_ || now - ended.front().first > retention_)) {
+    ids_.erase(ended.front().second);
+    ended.pop_front();
   }
 }
 
--- a/src/dispatch/recent_request_ids.h
+++ b/src/dispatch/recent_request_ids.h
@@ -16,8 +16,9 @@
 // Not thread-safe; called by the event loop only. `now` must not decrease between calls.
 class RecentRequestIds {
  public:
-  // Ids of ended requests are kept for `retention`, at most `max_ended` of them; the oldest are dropped
-  // first.
+  // Ids of ended requests are kept for `retention`, at most `max_ended` of each kind; the oldest are dropped
+  // first. The kinds are apart, so that many requests that may be repeated do not displace the ids of those
+  // that may not.
   RecentRequestIds(runtime::Duration retention, std::size_t max_ended)
       : retention_(retention), max_ended_(max_ended) {}
 
@@ -27,16 +28,21 @@
   void Import(const std::string& id, runtime::TimePoint now);
   // All known ids, sorted.
   std::vector<std::string> All() const { return {ids_.begin(), ids_.end()}; }
-  // A request added by Insert() has ended. Must be called once for each.
-  void OnRequestEnded(std::string id, runtime::TimePoint now);
+  // A request added by Insert() has ended. Must be called once for each. `repeatable`: running it again is
+  // harmless.
+  void OnRequestEnded(std::string id, runtime::TimePoint now, bool repeatable = false);
 
  private:
+  using Ended = std::deque<std::pair<runtime::TimePoint, std::string>>;  // time of the end, oldest first
+
   void Expire(runtime::TimePoint now);
+  void Expire(Ended& ended, runtime::TimePoint now);
 
   const runtime::Duration retention_;
   const std::size_t max_ended_;
   std::set<std::string, std::less<>> ids_;
-  std::deque<std::pair<runtime::TimePoint, std::string>> ended_;  // time of the end, oldest first
+  Ended ended_;
+  Ended ended_repeatable_;
 };
 
 }  // namespace mothrack::dispatch
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -308,6 +308,22 @@
 
 // ---- RecentRequestIds ----
 
+// Guards against this failure: a flood of requests that may be repeated displaced the id of one that may not,
+// and it ran again when it came again.
+TEST(RecentRequestIds, RepeatableOnesDoNotDisplaceTheOthers) {
+  dispatch::RecentRequestIds ids(milliseconds(100), 3);
+  const runtime::TimePoint start{};
+  ASSERT_TRUE(ids.Insert("unsafe", start));
+  ids.OnRequestEnded("unsafe", start);
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "safe" + std::to_string(i);
+    ASSERT_TRUE(ids.Insert(id, start));
+    ids.OnRequestEnded(id, start, true);
+  }
+  EXPECT_FALSE(ids.Insert("unsafe", start));
+  EXPECT_TRUE(ids.Insert("safe0", start));
+}
+
 TEST(RecentRequestIds, ForgetsByAgeAndNumber) {
   dispatch::RecentRequestIds ids(milliseconds(100), 3);
   const runtime::TimePoint start{};
