Soak: seeded faults and traffic around a real sidecar, judged by its own books

Its books judge: lost, duplicate, drain, foreign bytes, sound answers cut off, sent on after the client left, stalled clients kept, the process.

--- /dev/null
+++ b/tests/soak/clients.cpp
@@ -0,0 +1,280 @@
+#include "soak/clients.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace mothrack::soak {
+namespace {
+
+// How long a client waits beyond its time before it counts a request as lost.
+constexpr std::chrono::seconds kLostAfter{5};
+// The deployment ends a client that stops in a request within 3 s.
+constexpr Milliseconds kBadClientLimit{3000};
+
+std::uint64_t Below(std::mt19937_64& random, std::uint64_t bound) { return random() % bound; }
+
+// Returns a number from `low` to `high`.
+std::uint64_t Between(std::mt19937_64& random, std::uint64_t low, std::uint64_t high) {
+  return low + Below(random, high - low + 1);
+}
+
+struct RequestDraw {
+  Effect effect{};
+  Plan plan;
+  Milliseconds timeout{};
+  std::string body;
+  bool chunked = false;
+};
+
+Plan DrawSlowAnswer(std::mt19937_64& random) {
+  Plan plan;
+  plan.framing = static_cast<Plan::Framing>(Below(random, Plan::kFramings));
+  plan.size = Between(random, 22'000, 400'000);
+  switch (Below(random, 3)) {
+    case 0:  // steady, 60 kB a second
+      plan.piece = 3000;
+      plan.pause = Milliseconds(50);
+      break;
+    case 1:  // in lumps
+      plan.piece = 30'000;
+      plan.pause = Milliseconds(Between(random, 100, 400));
+      break;
+    default:  // late body
+      plan.delay = Milliseconds(Between(random, 300, 1500));
+      plan.piece = 20'000;
+      plan.pause = Milliseconds(20);
+  }
+  return plan;
+}
+
+RequestDraw DrawRequest(std::mt19937_64& random) {
+  RequestDraw draw;
+  draw.effect = static_cast<Effect>(Below(random, 3));
+  draw.timeout = Milliseconds(Between(random, 400, 2500));
+  const std::uint64_t kind = Below(random, 100);
+  draw.plan.size = Between(random, 10, 4000);
+  if (kind >= 55 && kind < 75) draw.plan = DrawSlowAnswer(random);
+  if (kind >= 75) draw.plan.answer = static_cast<Plan::Answer>(Below(random, Plan::kAnswers));
+  const bool uploads =
+      draw.plan.answer == Plan::Answer::kReadsNothing || draw.plan.answer == Plan::Answer::kReadsSlowly;
+  if (uploads) draw.effect = Effect::kUnsafe;
+  if (draw.effect != Effect::kSafe) draw.body.assign(Between(random, 1, 2000), 'b');
+  if (uploads || (draw.effect != Effect::kSafe && kind < 8))
+    draw.body.assign(Between(random, 70'000, 900'000), 'b');
+  draw.chunked = Below(random, 2) == 0;
+  return draw;
+}
+
+std::string PathOf(Effect effect) {
+  return effect == Effect::kSafe ? "/page/" : effect == Effect::kKeyed ? "/keyed/" : "/submit/";
+}
+
+std::string HeadOf(const RequestDraw& draw, const std::string& id) {
+  const bool has_body = draw.effect != Effect::kSafe;
+  std::string head = (has_body ? "POST " : "GET ") + PathOf(draw.effect) + id + draw.plan.ToText() +
+                     " HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id +
+                     "\r\nX-Timeout-Ms: " + std::to_string(draw.timeout.count()) + "\r\n";
+  if (draw.effect == Effect::kKeyed) head += "Idempotency-Key: k" + id + "\r\n";
+  if (!has_body) return head + "\r\n";
+  return head +
+         (draw.chunked ? "Transfer-Encoding: chunked"
+                       : "Content-Length: " + std::to_string(draw.body.size())) +
+         "\r\n\r\n";
+}
+
+std::string BodyTextOf(const RequestDraw& draw) {
+  if (draw.effect == Effect::kSafe || !draw.chunked) return draw.body;
+  char size[32];
+  std::snprintf(size, sizeof size, "%zx\r\n", draw.body.size());
+  return size + draw.body + "\r\n0\r\n\r\n";
+}
+
+}  // namespace
+
+void Clients::Start(int usual, int leaving) {
+  for (int i = 0; i < usual; ++i) threads_.emplace_back([this, i] { Run(i); });
+  for (int i = 0; i < leaving; ++i) threads_.emplace_back([this, i] { RunLeaving(i); });
+}
+
+void Clients::StartCrowd(int connections) {
+  threads_.emplace_back([this, connections] { RunCrowd(connections); });
+}
+
+void Clients::StartFlood() {
+  threads_.emplace_back([this] { RunFlood(); });
+}
+
+void Clients::Stop() {
+  stopping_ = true;
+  for (std::thread& thread : threads_) thread.join();
+  threads_.clear();
+}
+
+void Clients::Run(int number) {
+  Random random(seed_ * 1000 + static_cast<std::uint64_t>(number));
+  Connection connection;
+  bool reused = false;
+  for (int i = 0; !stopping_; ++i) {
+    if (!connection.is_open()) {
+      connection = Connection::To(port_);
+      reused = false;
+      // The sidecar has ended.
+      if (!connection.is_open()) return;
+    }
+    const std::string id =
+        "s" + std::to_string(seed_) + "c" + std::to_string(number) + "r" + std::to_string(i);
+    if (!Exchange(connection, reused, random, id)) connection.Close();
+    reused = true;
+    std::this_thread::sleep_for(Milliseconds(Between(random, 0, 40)));
+  }
+}
+
+bool Clients::WriteRequest(Connection& connection, Random& random, const std::string& text,
+                           const std::string& body) {
+  const TimePoint deadline = Clock::now() + kLostAfter;
+  const bool slow = Below(random, 10) == 0;
+  if (!connection.Send(text, deadline)) return false;
+  const std::size_t piece =
+      slow ? std::max<std::size_t>(body.size() / 5, 1) : std::max<std::size_t>(body.size(), 1);
+  for (std::size_t at = 0; at < body.size(); at += piece) {
+    if (!connection.Send(std::string_view(body).substr(at, piece), deadline)) return false;
+    if (slow) std::this_thread::sleep_for(Milliseconds(100));
+  }
+  return true;
+}
+
+bool Clients::Exchange(Connection& connection, bool reused, Random& random, const std::string& id) {
+  const RequestDraw draw = DrawRequest(random);
+  const bool written = WriteRequest(connection, random, HeadOf(draw, id), BodyTextOf(draw));
+  // A client that is answered before it has sent everything reads what there is.
+  books_.OnSent(id, draw.effect, draw.plan, draw.timeout);
+  ResponseParser parser;
+  // A long answer's time is that of its head; its body may take as long as its upstream needs.
+  auto response = parser.Read(connection, Clock::now() + draw.timeout + kLostAfter + std::chrono::seconds(8));
+  Result& result = response.result;
+  const bool closed_between = result.kind == Result::Kind::kIdleClose && (reused || !written);
+  if (result.kind == Result::Kind::kIdleClose && !closed_between) result.kind = Result::Kind::kNoAnswer;
+  const bool served = result.status == 200;
+  const std::string expected = served ? BodyOf(id, draw.plan.size) : "";
+  if (served && result.kind == Result::Kind::kAnswered) result.body_matches = response.body == expected;
+  if (served && result.kind == Result::Kind::kTruncated)
+    result.body_matches = expected.starts_with(response.body);
+  books_.OnResult(id, result);
+  return response.keeps_connection && written;
+}
+
+void Clients::RunLeaving(int number) {
+  Random random(seed_ * 1000 + 500 + static_cast<std::uint64_t>(number));
+  for (int i = 0; !stopping_; ++i) {
+    const std::string id =
+        "s" + std::to_string(seed_) + "l" + std::to_string(number) + "r" + std::to_string(i);
+    RequestDraw draw = DrawRequest(random);
+    draw.effect = Effect::kUnsafe;
+    if (draw.body.empty()) draw.body = "b";
+    std::string text = HeadOf(draw, id) + BodyTextOf(draw);
+    Connection connection = Connection::To(port_);
+    if (!connection.is_open()) return;
+    books_.OnSent(id, draw.effect, draw.plan, draw.timeout);
+    // Much more behind it, under ids that nobody waits for.
+    const bool pipelines = Below(random, 2) == 0;
+    std::vector<std::string> followers;
+    for (int k = 0; pipelines && k < 50; ++k) {
+      followers.push_back(id + "f" + std::to_string(k));
+      RequestDraw follower;
+      follower.effect = Effect::kSafe;
+      follower.timeout = draw.timeout;
+      books_.OnSent(followers.back(), follower.effect, follower.plan, follower.timeout);
+      text += HeadOf(follower, followers.back());
+    }
+    connection.Send(text, Clock::now() + std::chrono::seconds(1));
+    std::this_thread::sleep_for(Milliseconds(Below(random, 60)));
+    Below(random, 2) == 0 ? connection.Reset() : connection.Close();
+    books_.OnLeft(id);
+    for (const std::string& follower : followers) books_.OnLeft(follower);
+    // The same id again, at once or later: it must not run a second time.
+    std::this_thread::sleep_for(Milliseconds(Below(random, 400)));
+    Connection again = Connection::To(port_);
+    if (!again.is_open()) return;
+    books_.OnSentAgain(id);
+    if (again.Send(HeadOf(draw, id) + BodyTextOf(draw), Clock::now() + std::chrono::seconds(1))) {
+      ResponseParser().Read(again, Clock::now() + draw.timeout + kLostAfter);
+    }
+  }
+}
+
+void Clients::RunCrowd(int connections) {
+  struct Member {
+    Connection connection;
+    TimePoint begun;
+    bool stops = false;
+  };
+  Random random(seed_ * 1000 + 900);
+  std::vector<Member> members;
+  for (int i = 0; i < connections && !stopping_; ++i) {
+    Member member{Connection::To(port_), Clock::now(), false};
+    if (!member.connection.is_open()) break;
+    const TimePoint deadline = Clock::now() + Milliseconds(200);
+    const std::string id = "s" + std::to_string(seed_) + "m" + std::to_string(i);
+    RequestDraw draw;
+    draw.effect = Effect::kUnsafe;
+    draw.timeout = Milliseconds(2500);
+    draw.body.assign(300'000, 'b');
+    std::string text;
+    switch (Below(random, 3)) {
+      case 0:  // stops half way through a large request
+        text = HeadOf(draw, id) + draw.body.substr(0, draw.body.size() / 2);
+        member.stops = true;
+        break;
+      case 1:  // a head of very many short fields that does not end
+        text = "GET /page/" + id + " HTTP/1.1\r\n";
+        for (int k = 0; k < 3000; ++k) text += "a:\r\n";
+        member.stops = true;
+        break;
+      default:  // a long answer that is not read
+        draw.effect = Effect::kSafe;
+        draw.plan.size = 400'000;
+        text = HeadOf(draw, id);
+    }
+    member.connection.Send(text, deadline);
+    member.begun = Clock::now();
+    members.push_back(std::move(member));
+  }
+  const TimePoint end = Clock::now() + kBadClientLimit + Books::kAnswerSlack;
+  while (!stopping_ && Clock::now() < end) std::this_thread::sleep_for(Milliseconds(20));
+  if (stopping_) return;
+  for (Member& member : members) {
+    std::string received;
+    if (!member.stops) continue;
+    if (member.connection.Receive(received, 1, Clock::now()) == Connection::Received::kDeadline) {
+      books_.AddViolation(Rule::kStalledClient, "neither an error nor a close within 3.5 s");
+    }
+  }
+}
+
+void Clients::RunFlood() {
+  Random random(seed_ * 1000 + 950);
+  const TimePoint end = Clock::now() + std::chrono::seconds(3);
+  for (std::uint64_t i = 0; !stopping_ && Clock::now() < end;) {
+    Connection connection = Connection::To(port_);
+    if (!connection.is_open()) return;
+    std::string received;
+    auto state = Connection::Received::kDeadline;
+    while (!stopping_ && Clock::now() < end && state != Connection::Received::kEnd) {
+      std::string text;
+      for (int k = 0; k < 50; ++k, ++i) {
+        const std::string name = std::to_string(seed_) + "x" + std::to_string(i);
+        const bool sound = Below(random, 2) == 0;
+        text += "GET /" + (sound ? "page" : "class" + name) + "/" + name +
+                " HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + name + "\r\nX-Tenant-Id: t" + name +
+                "\r\nX-Timeout-Ms: 500\r\n\r\n";
+      }
+      if (!connection.Send(text, Clock::now() + Milliseconds(500))) break;
+      state = connection.Receive(received, 65536, Clock::now() + Milliseconds(1));
+      received.clear();
+    }
+  }
+}
+
+}  // namespace mothrack::soak
