Planned stop: only requests that came during it are failed before SIGKILL, and none in a hot restart

Cause, by reading: failed every request that was open 3.5 s after SIGTERM, also one that came before it and may have a longer deadline, and also in the former process of a hot restart, which nobody kills. Change: only requests that came after the stop began are failed, and only where no successor serves.

--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -160,7 +160,10 @@
 void Listener::SweepConnection(ClientConnection& connection, runtime::TimePoint now,
                                runtime::Duration draining_for) {
   if (draining_for >= max_drain_time_ && connection.AwaitsClose()) return connection.CloseNow();
-  if (draining_for >= max_drain_time_ - kLastAnswers) connection.FailRequest();
+  // What came before the stop is answered by its deadline, and a former process of a hot restart is not
+  // killed.
+  const bool came_late = !has_successor_ && connection.since() > drain_started_;
+  if (came_late && draining_for >= max_drain_time_ - kLastAnswers) connection.FailRequest();
   // Near the end of the stop there is no time left to wait for a request on a new connection.
   const bool keeps_new = draining_for < max_drain_time_ - kLingerTimeout;
   const bool closes = quiescing() && connection.Idle() && !(keeps_new && connection.IsNew(now));
