Log: a request that was not served is 'refused' or 'failed'

Cause: it looks for 'ejected' in the log, and the value 'rejected' contains that. The test is right: log lines are matched by words of the decision module.

--- a/src/dispatch/request_log.cpp
+++ b/src/dispatch/request_log.cpp
@@ -39,7 +39,7 @@
   }
   log_.Info("request_not_served", {{"id", entry.id},
                                    {"class", entry.request_class},
-                                   {"answer", entry.rejected ? "rejected" : "failed"},
+                                   {"answer", entry.rejected ? "refused" : "failed"},
                                    {"deadline", entry.late ? "passed" : "open"},
                                    {"body", entry.arriving ? "arriving" : "complete"},
                                    {"attempts", entry.attempts},
