--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -177,7 +177,7 @@
   PendingRequest& pending = it->second;
   // The request already has its outcome, so it needs no other answer.
   if (!Advance(pending, RequestEvent::kAnswerStarted)) {
-    return transport_.Cancel(pending.attempts[static_cast<std::size_t>(attempt)]);
+    return transport_.Cancel(pending.attempts[static_cast<std::size_t>(attempt)].exchange);
   }
   const auto on_final = std::exchange(pending.on_final, nullptr);
   pending.winner = attempt;
@@ -202,6 +202,7 @@
   --pending.attempts_in_flight;
   pending.last_outcome = result.outcome;
   const bool served = result.outcome == Outcome::kServed;
+  if (!served) LogFailedAttempt(pending, attempt, result);
   if (IsStreaming(pending.state) && pending.winner == attempt) {
     Finish(pending, RequestEvent::kStreamEnded,
            served ? RequestCounters::Outcome::kServed : RequestCounters::Outcome::kFailed);
@@ -229,6 +230,15 @@
   EraseIfDone(id);
 }
 
+void Dispatcher::LogFailedAttempt(const PendingRequest& pending, AttemptId attempt,
+                                  const ExchangeResult& result) {
+  if (result.outcome == Outcome::kCancelled || result.outcome == Outcome::kNotSent) return;
+  const auto index = static_cast<std::size_t>(attempt);
+  request_log_.AttemptFailed({pending.key, pending.attempts[index].upstream, index + 1, result.outcome,
+                              result.cause, IsArriving(pending.state)},
+                             Now());
+}
+
 void Dispatcher::GiveFinal(RequestId id, FinalAnswer final) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
@@ -258,9 +268,9 @@
 void Dispatcher::AbandonUnsentAttempts(RequestId id) {
   const auto it = requests_.find(id);
   if (it == requests_.end() || it->second.attempts_in_flight == 0) return;
-  const std::vector<ExchangeId> attempts =
-      it->second.attempts;  // a copy: the end of an attempt may erase the request
-  for (const ExchangeId attempt : attempts) transport_.Abandon(attempt);
+  // A copy: the end of an attempt may erase the request.
+  const std::vector<SentAttempt> attempts = it->second.attempts;
+  for (const SentAttempt& attempt : attempts) transport_.Abandon(attempt.exchange);
 }
 
 // Deferred while events are queued: the module may still send attempts for the request, and must be told the
@@ -281,7 +291,7 @@
   PendingRequest& pending = it->second;
   const AttemptId attempt{pending.attempts.size()};
   const ExchangeId exchange{++last_exchange_};
-  pending.attempts.push_back(exchange);
+  pending.attempts.push_back({exchange, action.upstream.value});
   ++pending.attempts_in_flight;
   ExchangeHooks hooks;
   hooks.on_written = [this, request_class = pending.request_class, tenant = pending.tenant] {
@@ -309,7 +319,7 @@
   const auto it = requests_.find(action.request);
   const auto attempt = static_cast<std::size_t>(action.attempt);
   if (it == requests_.end() || attempt >= it->second.attempts.size()) return;
-  transport_.Cancel(it->second.attempts[attempt]);
+  transport_.Cancel(it->second.attempts[attempt].exchange);
 }
 
 void Dispatcher::Execute(const balancer::Reject& action) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -91,6 +91,10 @@
   const UpstreamOverrides& upstream_overrides() const { return upstream_overrides_; }
 
  private:
+  struct SentAttempt {
+    ExchangeId exchange{};
+    std::string upstream;  // for the log
+  };
   struct PendingRequest {
     std::string key;
     balancer::ClassId request_class{};
@@ -100,7 +104,7 @@
     RequestState state = RequestState::kArriving;
     balancer::AttemptId winner{};        // the attempt whose answer is being streamed, if any
     OnFinal on_final;                    // called at most once, while AwaitsFinal(state)
-    std::vector<ExchangeId> attempts;    // indexed by AttemptId
+    std::vector<SentAttempt> attempts;   // indexed by AttemptId
     std::size_t attempts_in_flight = 0;  // number of attempts that have not ended
     std::optional<balancer::Outcome> last_outcome;
     std::unique_ptr<Reply> last_reply;
@@ -119,6 +123,8 @@
   void OnAnswerStarted(balancer::RequestId id, balancer::AttemptId attempt, std::unique_ptr<Reply> reply,
                        runtime::Duration answer_time);
   void OnAttemptEnded(balancer::RequestId id, balancer::AttemptId attempt, ExchangeResult result);
+  void LogFailedAttempt(const PendingRequest& pending, balancer::AttemptId attempt,
+                        const ExchangeResult& result);
   void GiveFinal(balancer::RequestId id, FinalAnswer final);
   // Stops the attempts whose message is not yet completely written. Called when the request needs no answer
   // any more.
--- a/src/dispatch/exchange.h
+++ b/src/dispatch/exchange.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "balancer/balancer.h"
 #include "dispatch/membership.h"
@@ -75,6 +76,8 @@
   std::unique_ptr<Reply> reply;
   // Set if a successful answer began: how long after the message was sent. `elapsed` includes its body.
   std::optional<runtime::Duration> answer_time{};
+  // What went wrong, for the log: a literal; empty if nothing did, or if the outcome says it all.
+  std::string_view cause{};
 };
 
 // The time limits of an attempt, counted from now, or from the last byte of a message that is still arriving.
--- a/src/dispatch/request_log.cpp
+++ b/src/dispatch/request_log.cpp
@@ -47,4 +47,18 @@
                                    {"left_out", std::exchange(left_out_, 0)}});
 }
 
+void RequestLog::AttemptFailed(const FailedAttempt& attempt, runtime::TimePoint now) {
+  if (!attempt_limiter_.Take(now)) {
+    ++attempts_left_out_;
+    return;
+  }
+  log_.Info("attempt_failed", {{"id", attempt.id},
+                               {"upstream", attempt.upstream},
+                               {"attempt", attempt.number},
+                               {"outcome", NameOf(attempt.outcome)},
+                               {"cause", attempt.cause.empty() ? "none" : attempt.cause},
+                               {"body", attempt.arriving ? "arriving" : "complete"},
+                               {"left_out", std::exchange(attempts_left_out_, 0)}});
+}
+
 }  // namespace mothrack::dispatch
--- a/src/dispatch/request_log.h
+++ b/src/dispatch/request_log.h
@@ -1,11 +1,12 @@
-// Logs requests that were not served: their id, what their client got, and why. Bounded by a limit of its
-// own, so that an overload does not displace the other lines of the log.
+// Logs requests that were not served: their id, what their client got, and why; and each attempt that failed.
+// Both events have a limit of their own, so that an overload does not displace the other lines of the log.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "balancer/balancer.h"
 #include "runtime/clock.h"
@@ -17,13 +18,14 @@
 // Used on the thread of its dispatcher. The time must not decrease. Nothing throws.
 class RequestLog {
  public:
-  // After kBurst lines at once only kPerSecond lines a second are written; each says how many were left out
-  // before.
+  // After kBurst lines of an event at once only kPerSecond lines a second are written; each says how many
+  // were left out before.
   static constexpr double kBurst = 20;
   static constexpr double kPerSecond = 2;
 
   // `log` must outlive this object.
-  RequestLog(runtime::Logger& log, runtime::TimePoint now) : log_(log), limiter_(kPerSecond, kBurst, now) {}
+  RequestLog(runtime::Logger& log, runtime::TimePoint now)
+      : log_(log), limiter_(kPerSecond, kBurst, now), attempt_limiter_(kPerSecond, kBurst, now) {}
 
   // A request that was rejected or has failed.
   struct Entry {
@@ -37,10 +39,23 @@
   };
   void NotServed(const Entry& entry, runtime::TimePoint now);
 
+  // An attempt that ended without being served, unless it was cancelled or not sent.
+  struct FailedAttempt {
+    const std::string& id;
+    std::string_view upstream;
+    std::size_t number = 0;  // from 1
+    balancer::Outcome outcome{};
+    std::string_view cause;  // see ExchangeResult
+    bool arriving = false;   // the request's body was still arriving
+  };
+  void AttemptFailed(const FailedAttempt& attempt, runtime::TimePoint now);
+
  private:
   runtime::Logger& log_;
   runtime::RateLimiter limiter_;
   std::uint64_t left_out_ = 0;
+  runtime::RateLimiter attempt_limiter_;
+  std::uint64_t attempts_left_out_ = 0;
 };
 
 }  // namespace mothrack::dispatch
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -10,8 +10,8 @@
 #include <utility>
 
 #include "http/exchange_memory.h"
-#include "http/framing.h"
 #include "http/head_memory.h"
+#include "http/message_rules.h"
 #include "http/plain_response.h"
 #include "runtime/system_calls.h"
 
@@ -36,6 +36,12 @@
 // A connection younger than this that has sent nothing is assumed to be about to send a request.
 constexpr runtime::Duration kNewConnectionAge = std::chrono::milliseconds(300);
 
+// The id of a request, without what exceeds the length of a valid one.
+std::string_view IdOf(const beast_http::request_header<>& head) {
+  const boost::beast::string_view id = head["X-Request-ID"];
+  return {id.data(), std::min(id.size(), kMaxRequestIdSize)};
+}
+
 bool IsHealthCheck(const beast_http::request_header<>& head) {
   return head.target() == "/up" && head.method() == beast_http::verb::get;
 }
@@ -58,9 +64,12 @@
 
 // ---- Closing ----
 
-void ClientConnection::Close() {
+void ClientConnection::Close(CloseReason reason) {
   if (closed_) return;
   closed_ = true;
+  if (owner_ != nullptr) {
+    owner_->client_log().ConnectionClosed(RequestId(), reason, StateOfRequest(), runtime::Now());
+  }
   error_code ignored;
   socket_.close(ignored);
   slot_.reset();
@@ -80,7 +89,7 @@
 void ClientConnection::Orphan() {
   owner_ = nullptr;
   observer_ = {};
-  Close();
+  Close(CloseReason::kProcessEnds);
 }
 
 void ClientConnection::HalfClose() {
@@ -89,25 +98,29 @@
   linger_.ShutdownSend();
 }
 
-void ClientConnection::CloseNow() {
+void ClientConnection::CloseNow(CloseReason reason) {
   if (phase_ == Phase::kLingering) linger_.DiscardUnread();
-  Close();
+  Close(reason);
 }
 
 void ClientConnection::FailRequest() {
   if (closed_ || phase_ != Phase::kServing) return;
   EndRequest();
-  Reject(beast_http::status::gateway_timeout, "no answer before the end of the process");
+  Reject(Rejection::kProcessEnds, "no_answer",
+         PlainResponse(beast_http::status::gateway_timeout, "no answer before the end of the process"));
 }
 
 void ClientConnection::CloseIfOverdue(runtime::TimePoint now) {
   if (closed_ || !IsOverdue(now)) return;
-  if (phase_ != Phase::kReading && phase_ != Phase::kServing) return CloseNow();
+  if (phase_ != Phase::kReading && phase_ != Phase::kServing) {
+    return CloseNow(AwaitsClose() ? CloseReason::kAnswered : CloseReason::kOverdue);
+  }
   // The sidecar itself may have been too busy to read, so bytes that have already arrived are read first.
   if (HasUnreadBytes() && !std::exchange(extension_granted_, true)) return;
-  if (!reader_.started()) return Close();
+  if (!reader_.started()) return Close(CloseReason::kIdle);
   EndRequest();
-  Reject(beast_http::status::request_timeout, "request did not come in time");
+  Reject(Rejection::kOverdue, reader_.in_body() ? "body" : "head",
+         PlainResponse(beast_http::status::request_timeout, "request did not come in time"));
 }
 
 bool ClientConnection::IsOverdue(runtime::TimePoint now) const {
@@ -187,7 +200,7 @@
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
     self->reading_ = false;
     if (self->closed_) return;
-    if (error) return self->Close();
+    if (error) return self->Close(CloseReason::kClientLeft);
     if (self->phase_ == Phase::kHalfClosed) return self->AwaitClose();
     self->Receive();
   });
@@ -199,7 +212,7 @@
   error_code error;
   runtime::PeekByte(socket_, error);
   if (runtime::WouldBlock(error)) return Read();
-  if (error) Close();
+  if (error) Close(CloseReason::kClientLeft);
 }
 
 void ClientConnection::Receive() {
@@ -212,7 +225,7 @@
   error_code error;
   const std::size_t received = runtime::ReadSome(socket_, buffer.prepare(size), error);
   if (runtime::WouldBlock(error)) return Read();
-  if (error) return Close();
+  if (error) return Close(CloseReason::kClientLeft);
   buffer.commit(received);
   received_bytes_ += received;
   Progress();
@@ -271,7 +284,9 @@
     if (upload_interrupted_) OnBodyBytes(reader_.buffer().size());
     DiscardBuffered();
     const std::size_t limit = upload_interrupted_ ? kMaxBodySize : kMaxLingerBytes;
-    if (phase_ == Phase::kLingering && linger_.discarded_bytes() > limit) return Close();
+    if (phase_ == Phase::kLingering && linger_.discarded_bytes() > limit) {
+      return Close(CloseReason::kUnread);
+    }
   }
   parsing_ = true;
   Parse();
@@ -318,7 +333,7 @@
   if (in_body) OnBodyBytes(step.consumed);
   if (upload_) return ContinueUpload(step);
   if (step.result == RequestReader::Step::Result::kInvalid) {
-    Reject(step.status, step.reason);
+    RejectUnsound(step.defect, step.text);
     return false;
   }
   if (reader_.TakeHeadCompleted() && !AcceptHead()) return false;
@@ -343,10 +358,6 @@
 
 // Returns false if the request is rejected because of its head.
 bool ClientConnection::AcceptHead() {
-  if (const char* error = FindFramingError(reader_.head())) {
-    Reject(beast_http::status::bad_request, error);
-    return false;
-  }
   if (!ReserveRequest()) {
     RejectForMemory();
     return false;
@@ -392,28 +403,23 @@
   // If no byte of it was written, no harm is done: the client sends the body after a pause anyway (RFC 9110
   // section 10.1.1). After a partial write the client would parse the final response as the rest of this one,
   // so the connection is closed.
-  if (!unsent.empty() && unsent.size() < kContinue.size()) Close();
+  if (!unsent.empty() && unsent.size() < kContinue.size()) Close(CloseReason::kWriteFailed);
 }
 
 // ---- Serving ----
 
 void ClientConnection::Serve(HttpRequest&& request, StreamedBody streamed_body) {
-  // Check the framing again, because trailers have been merged into the head. Bytes after the body must look
-  // like the start of a request; otherwise the body length was wrong.
-  if (const char* error = FindFramingError(request)) return Reject(beast_http::status::bad_request, error);
-  if (!streamed_body && reader_.NextRequestIsInvalid()) {
-    return Reject(beast_http::status::bad_request, "no request behind the body");
-  }
   if (!request.keep_alive()) close_after_ = true;
   http_version_ = request.version();
   phase_ = Phase::kServing;
+  request_id_.assign(IdOf(request));
   if (IsHealthCheck(request)) {
     return Respond(owner_->ReportsDraining()
                        ? PlainResponse(beast_http::status::service_unavailable, "draining")
                        : PlainResponse(beast_http::status::ok, "up"));
   }
   // The client may have disconnected while its request waited in the buffer.
-  if (ClientDisconnected()) return Close();
+  if (ClientDisconnected()) return Close(CloseReason::kClientLeft);
   auto reply = [self = shared_from_this()](HttpResponse response, StreamedBody response_body) {
     if (!response_body) self->observer_ = {};
     if (!self->closed_) return self->Respond(std::move(response), std::move(response_body));
@@ -447,7 +453,7 @@
 // Returns false if nothing more can be parsed for now.
 bool ClientConnection::ContinueUpload(const RequestReader::Step& step) {
   if (step.result == RequestReader::Step::Result::kInvalid) {
-    Close();
+    Close(CloseReason::kUnsound);
     return false;
   }
   if (!ForwardChunk()) return false;
@@ -495,19 +501,45 @@
 
 // After a malformed request the message boundaries are unknown, so nothing after it on this connection is
 // parsed as a request.
-void ClientConnection::Reject(beast_http::status status, const std::string& reason) {
-  close_after_ = true;
-  Respond(PlainResponse(status, reason));
+void ClientConnection::RejectUnsound(MessageDefect defect, const std::string& text) {
+  const auto status = defect == MessageDefect::kBodyTooLarge ? beast_http::status::payload_too_large
+                                                             : beast_http::status::bad_request;
+  Reject(Rejection::kUnsound, LogNameOf(defect), PlainResponse(status, text));
 }
 
 void ClientConnection::RejectForMemory() {
-  close_after_ = true;
   auto response = PlainResponse(beast_http::status::service_unavailable,
                                 "refused: memory is short, trying again is harmless");
   response.set(beast_http::field::retry_after, kRetryAfterSeconds);
+  Reject(Rejection::kMemory, "budget", std::move(response));
+}
+
+void ClientConnection::Reject(Rejection rejection, std::string_view detail, HttpResponse response) {
+  owner_->client_log().RequestRejected(RequestId(), rejection, detail, runtime::Now());
+  close_after_ = true;
   Respond(std::move(response));
 }
 
+std::string_view ClientConnection::RequestId() const {
+  if (phase_ != Phase::kReading) return request_id_;
+  return reader_.in_body() ? IdOf(reader_.head()) : std::string_view();
+}
+
+OpenRequest ClientConnection::StateOfRequest() const {
+  switch (phase_) {
+    case Phase::kReading:
+      return reader_.started() ? OpenRequest::kArriving : OpenRequest::kNone;
+    case Phase::kServing:
+      return OpenRequest::kServing;
+    case Phase::kWriting:
+      return OpenRequest::kAnswered;
+    case Phase::kLingering:
+    case Phase::kHalfClosed:
+      break;
+  }
+  return OpenRequest::kNone;
+}
+
 void ClientConnection::Respond(HttpResponse response, StreamedBody streamed_body) {
   phase_ = Phase::kWriting;
   since_ = runtime::Now();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -17,8 +17,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "http/body_deadline.h"
+#include "http/client_log.h"
 #include "http/eviction_policy.h"
 #include "http/lingering_close.h"
 #include "http/messages.h"
@@ -53,6 +55,8 @@
     virtual void OnAwaitingRequest(runtime::TimePoint now) = 0;
     // The connection has stopped reading, so only polling can detect that its client has disconnected.
     virtual void CheckForDisconnects() = 0;
+    // Where rejected requests and closed connections are logged and counted.
+    virtual ClientLog& client_log() = 0;
     // Whether each connection must be closed after its current response.
     virtual bool ClosesAfterResponse() const = 0;
     // Whether `/up` answers that the address accepts no new clients.
@@ -72,7 +76,7 @@
   // Starts reading. Must be called once, after a shared_ptr owns the connection.
   void Start() { Read(); }
   // Closes the socket, notifies the observer of the current request, and leaves the owner's set. Idempotent.
-  void Close();
+  void Close(CloseReason reason);
   // The owner is being destroyed: closes the connection, and handlers that run later must not touch the
   // owner.
   void Orphan();
@@ -84,7 +88,7 @@
   // client gets a final answer.
   void FailRequest();
   // Closes without waiting any longer for the client's close.
-  void CloseNow();
+  void CloseNow(CloseReason reason);
   // Tells the handler of the current request if its client may have been waiting for the whole time that it
   // allows, although its body is not read to the end.
   void CheckUpload(runtime::TimePoint now);
@@ -145,14 +149,19 @@
   bool ForwardChunk();
   void FinishUpload();
   void ObserveUpload(runtime::TimePoint now);
-  void Reject(beast_http::status status, const std::string& reason);
+  void RejectUnsound(MessageDefect defect, const std::string& text);
   void RejectForMemory();
+  // Answers with an error, which is logged with its `detail`, and ends the connection.
+  void Reject(Rejection rejection, std::string_view detail, HttpResponse response);
+  // The id of the current request; empty if it is not known.
+  std::string_view RequestId() const;
+  OpenRequest StateOfRequest() const;
   void Respond(HttpResponse response, StreamedBody streamed_body = {});
 
   // ResponseWriter::Owner
   void OnWriteProgress() override { since_ = runtime::Now(); }
   void OnResponseWritten() override;
-  void OnWriteFailed() override { Close(); }
+  void OnWriteFailed() override { Close(CloseReason::kWriteFailed); }
   std::shared_ptr<ResponseWriter> shared_writer() override { return {shared_from_this(), &writer_}; }
 
   // Whether the current phase has lasted longer than it may.
@@ -182,6 +191,7 @@
   std::uint64_t received_bytes_ = 0;  // read from the socket since the start of the connection
   Phase phase_ = Phase::kReading;
   runtime::TimePoint since_;
+  std::string request_id_;           // of the request that is served or was served last
   unsigned http_version_ = 11;       // of the current request
   bool unused_ = true;               // no byte has ever arrived
   bool extension_granted_ = false;   // was overdue once, but had unread bytes and got one extension
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -7,7 +7,7 @@
 #include <optional>
 #include <utility>
 
-#include "http/framing.h"
+#include "http/hop_by_hop.h"
 #include "http/plain_response.h"
 
 namespace mothrack::http {
@@ -19,15 +19,41 @@
 // Minimum time between the moment when the client sent the request, which is when its timeout started, and
 // the moment when the request was read here.
 constexpr runtime::Duration kClientLatency = milliseconds(2);
-constexpr std::size_t kMaxIdSize = 128;
 // A timeout of more than this many deadlines of the request's class is invalid.
 constexpr int kMaxDeadlines = 2;
 
-// Response to a request that does not follow the protocol. Its connection is closed as well.
-HttpResponse InvalidRequestResponse(const std::string& reason) {
-  auto response = PlainResponse(beast_http::status::bad_request, reason);
-  response.keep_alive(false);
-  return response;
+// The name of an error in the log.
+std::string_view LogNameOf(ProtocolError error) {
+  switch (error) {
+    case ProtocolError::kClass:
+      return "class";
+    case ProtocolError::kMethod:
+      return "method";
+    case ProtocolError::kId:
+      return "id";
+    case ProtocolError::kTimeout:
+      return "timeout";
+    case ProtocolError::kRepeatedId:
+      return "repeated_id";
+  }
+  return "unknown";
+}
+
+// The same for the client.
+const char* TextOf(ProtocolError error) {
+  switch (error) {
+    case ProtocolError::kClass:
+      return "unknown class";
+    case ProtocolError::kMethod:
+      return "method or Idempotency-Key does not fit the class";
+    case ProtocolError::kId:
+      return "missing or bad X-Request-ID";
+    case ProtocolError::kTimeout:
+      return "missing or bad X-Timeout-Ms";
+    case ProtocolError::kRepeatedId:
+      return "X-Request-ID is taken";
+  }
+  return "bad request";
 }
 
 // Returns the value of a header field, or nothing if the field is missing or repeated.
@@ -41,7 +67,7 @@
   return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
 }
 
-bool IsValidId(string_view id) { return !id.empty() && id.size() <= kMaxIdSize && IsVisibleText(id); }
+bool IsValidId(string_view id) { return !id.empty() && id.size() <= kMaxRequestIdSize && IsVisibleText(id); }
 
 // Whether the method agrees with the effect of the class. A request that contradicts its class might be
 // retried although the class forbids it.
@@ -141,8 +167,9 @@
   RemoveHopByHop(request);  // first, because `Connection` may name fields that are checked below
   const bool has_body = streamed_body || !request.body().empty();
   auto parsed = Parse(request, has_body);
-  if (const auto* invalid = std::get_if<InvalidRequest>(&parsed)) {
-    reply(InvalidRequestResponse(invalid->reason), {});
+  if (const auto* error = std::get_if<ProtocolError>(&parsed)) {
+    const string_view id = request["X-Request-ID"];
+    Reject({id.data(), std::min(id.size(), kMaxRequestIdSize)}, *error, reply);
     return {};
   }
   auto& attributes = std::get<RequestAttributes>(parsed);
@@ -162,9 +189,11 @@
     StreamedBody body = TakeStreamedBody(final);
     reply(ToResponse(final), std::move(body));
   };
+  const std::shared_ptr<const dispatch::Message> message = accepted.message;
   const auto id = dispatcher_.Submit(std::move(accepted));
   if (!id) {
-    reply(InvalidRequestResponse("X-Request-ID is taken"), {});
+    const auto& request_id = static_cast<const HttpMessage&>(*message).request["X-Request-ID"];
+    Reject({request_id.data(), request_id.size()}, ProtocolError::kRepeatedId, reply);
     return {};
   }
   return {[this, id = *id] { dispatcher_.OnClientDisconnected(id); },
@@ -174,22 +203,29 @@
           timeout};
 }
 
-std::variant<HttpFrontend::RequestAttributes, HttpFrontend::InvalidRequest> HttpFrontend::Parse(
-    const HttpRequest& request, bool has_body) const {
-  if (!IsVisibleText(request.target())) return InvalidRequest{"bad target"};
+// The connection is closed as well.
+void HttpFrontend::Reject(std::string_view id, ProtocolError error, const ReplyCallback& reply) {
+  listener_.client_log().RequestRejected(id, Rejection::kProtocol, LogNameOf(error), runtime::Now());
+  auto response = PlainResponse(beast_http::status::bad_request, TextOf(error));
+  response.keep_alive(false);
+  reply(std::move(response), {});
+}
+
+std::variant<HttpFrontend::RequestAttributes, ProtocolError> HttpFrontend::Parse(const HttpRequest& request,
+                                                                                 bool has_body) const {
   const auto named_class = classes_.find(std::string(FirstSegment(request.target())));
-  if (named_class == classes_.end()) return InvalidRequest{"unknown class"};
+  if (named_class == classes_.end()) return ProtocolError::kClass;
   const auto& class_settings = dispatcher_.settings().classes[static_cast<std::size_t>(named_class->second)];
   if (!MethodFitsEffect(request, has_body, class_settings.effect)) {
-    return InvalidRequest{"method or Idempotency-Key does not fit the class"};
+    return ProtocolError::kMethod;
   }
   const auto id = SingleValue(request, "X-Request-ID");
-  if (!id || !IsValidId(*id)) return InvalidRequest{"missing or bad X-Request-ID"};
+  if (!id || !IsValidId(*id)) return ProtocolError::kId;
   const auto timeout_text = SingleValue(request, "X-Timeout-Ms");
   const auto timeout_ms = timeout_text ? ParseNumber<std::uint32_t>(*timeout_text) : std::nullopt;
   if (!timeout_ms || *timeout_ms == 0 ||
       milliseconds(*timeout_ms) > kMaxDeadlines * class_settings.deadline) {
-    return InvalidRequest{"missing or bad X-Timeout-Ms"};
+    return ProtocolError::kTimeout;
   }
 
   RequestAttributes attributes;
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "dispatch/dispatcher.h"
@@ -16,6 +17,15 @@
 
 namespace mothrack::http {
 
+// Why a sound request does not follow the protocol page.
+enum class ProtocolError {
+  kClass,       // the target names no class
+  kMethod,      // method, body or Idempotency-Key do not fit the class
+  kId,          // X-Request-ID is missing, repeated or malformed
+  kTimeout,     // X-Timeout-Ms is missing, repeated, malformed or out of range
+  kRepeatedId,  // another request has the same id
+};
+
 class HttpFrontend {
  public:
   // Accepts connections at once. Throws boost::system::system_error if it cannot listen.
@@ -32,6 +42,7 @@
   bool quiescing() const { return listener_.quiescing(); }
   // The number of clients that waited in the listen backlog without a notification to the event loop.
   std::uint64_t missed_wakeups() const { return listener_.missed_wakeups(); }
+  const ClientLog::Counts& client_counts() const { return listener_.client_counts(); }
   // Starts a planned stop. `done` is called when every accepted request has been answered.
   void Drain(std::function<void()> done) { listener_.Drain(std::move(done)); }
 
@@ -45,13 +56,11 @@
     std::optional<runtime::Duration> work;  // from the header X-Cost
     bool client_retry = false;
   };
-  struct InvalidRequest {
-    std::string reason;
-  };
 
   RequestObserver Accept(HttpRequest&& request, StreamedBody streamed_body, RequestMemory memory,
                          const ReplyCallback& reply);
-  std::variant<RequestAttributes, InvalidRequest> Parse(const HttpRequest& request, bool has_body) const;
+  void Reject(std::string_view id, ProtocolError error, const ReplyCallback& reply);
+  std::variant<RequestAttributes, ProtocolError> Parse(const HttpRequest& request, bool has_body) const;
 
   dispatch::Dispatcher& dispatcher_;
   std::map<std::string, balancer::ClassId, std::less<>> classes_;
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -52,6 +52,7 @@
     : descriptors_(descriptors),
       budget_(std::move(budget)),
       handler_(std::move(handler)),
+      client_log_(log, runtime::Now()),
       acceptor_(io, options, "http", *this, log),
       sweep_interval_(std::clamp(deadlines.shortest / kSweepsInDeadline, kPollInterval, kSweepInterval)),
       max_drain_time_(MaxDrainTime(deadlines.longest)),
@@ -88,7 +89,7 @@
         });
     if (!candidate) return false;
     if (!candidate->HasUnreadBytes()) {
-      candidate->CloseNow();
+      candidate->CloseNow(CloseReason::kEvicted);
       return true;
     }
     busy.insert(candidate.get());
@@ -159,7 +160,9 @@
 
 void Listener::SweepConnection(ClientConnection& connection, runtime::TimePoint now,
                                runtime::Duration draining_for) {
-  if (draining_for >= max_drain_time_ && connection.AwaitsClose()) return connection.CloseNow();
+  if (draining_for >= max_drain_time_ && connection.AwaitsClose()) {
+    return connection.CloseNow(CloseReason::kAnswered);
+  }
   // What came before the stop is answered by its deadline, and a former process of a hot restart is not
   // killed.
   const bool came_late = !has_successor_ && connection.since() > drain_started_;
@@ -172,7 +175,7 @@
   connection.CloseIfOverdue(now);
   if (!connection.ReadsNothing()) return;
   if (connection.ClientDisconnected()) {
-    connection.Close();
+    connection.Close(CloseReason::kClientLeft);
   } else {
     CheckForDisconnects();
   }
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -13,6 +13,7 @@
 #include <memory>
 
 #include "http/client_connection.h"
+#include "http/client_log.h"
 #include "http/messages.h"
 #include "http/request_handler.h"
 #include "runtime/acceptor.h"
@@ -58,6 +59,9 @@
   // requested, and requests that still arrive are served.
   void Quiesce(bool on);
   bool quiescing() const { return quiescing_ || on_drained_; }
+  // Also used by the front end, for requests that it rejects.
+  ClientLog& client_log() override { return client_log_; }
+  const ClientLog::Counts& client_counts() const { return client_log_.counts(); }
   // The number of clients that waited in the listen backlog without a notification to the event loop.
   std::uint64_t missed_wakeups() const { return acceptor_.missed_wakeups(); }
   // Starts a planned stop. Accepts clients for a while longer, unless a successor accepts them, and closes
@@ -97,6 +101,7 @@
   runtime::Descriptors& descriptors_;
   const runtime::MemoryBudget budget_;
   const RequestHandler handler_;
+  ClientLog client_log_;
   runtime::ConnectionSet<ClientConnection> connections_;
   runtime::Acceptor acceptor_;
   const runtime::Duration sweep_interval_;
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -73,6 +73,8 @@
 // Maximum number of fields of a message head, with the trailers of a chunked body. Each takes far more memory
 // than the few bytes that it may have on the wire.
 inline constexpr std::size_t kMaxHeaderFields = 256;
+// Maximum size of a request's id.
+inline constexpr std::size_t kMaxRequestIdSize = 128;
 // Maximum number of bytes that a client connection reads ahead of its parser.
 inline constexpr std::size_t kMaxReadAhead = std::size_t{32} * 1024;
 // The same of an upstream connection. A whole head must fit.
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -5,17 +5,17 @@
 #include <boost/system/error_code.hpp>
 #include <utility>
 
-#include "http/framing.h"
-
 namespace mothrack::http {
 namespace {
 
 using boost::system::error_code;
 
-RequestReader::Step Invalid(beast_http::status status, std::string reason) {
-  return {RequestReader::Step::Result::kInvalid, 0, status, std::move(reason)};
+RequestReader::Step Invalid(MessageDefect defect, std::string text) {
+  return {RequestReader::Step::Result::kInvalid, 0, defect, std::move(text)};
 }
 
+RequestReader::Step Invalid(MessageDefect defect) { return Invalid(defect, TextOf(defect)); }
+
 }  // namespace
 
 RequestReader::RequestReader() { buffer_.max_size(kMaxReadAhead); }
@@ -26,6 +26,8 @@
   parser_->header_limit(kMaxHeaderSize);
   set_chunk_capacity(runtime::MemoryBudget::kMinWindow);
   started_ = false;
+  head_checked_ = false;
+  head_taken_ = false;
   head_reported_ = false;
   head_scanned_ = 0;
 }
@@ -47,9 +49,23 @@
   if (!parser_->is_header_done()) {
     const HeadStatus head = InspectHead(Unparsed(), head_scanned_);
     if (head == HeadStatus::kPartial) return {};
-    if (head == HeadStatus::kInvalid) return Invalid(beast_http::status::bad_request, "bad request head");
+    if (head == HeadStatus::kInvalid) return Invalid(MessageDefect::kMalformedHead);
   }
-  return Parse();
+  Step step = Parse();
+  if (step.result == Step::Result::kInvalid) return step;
+  if (const auto defect = FindDefect()) return Invalid(*defect);
+  return step;
+}
+
+// The trailers of a chunked body are merged into its head, so that is checked again. Bytes behind the body
+// must look like the start of a request.
+std::optional<MessageDefect> RequestReader::FindDefect() {
+  const bool head_completed = parser_->is_header_done() && !std::exchange(head_checked_, true);
+  if (!head_completed && !complete()) return std::nullopt;
+  if (head_taken_) return std::nullopt;
+  if (const auto defect = http::FindDefect(parser_->get().base())) return defect;
+  if (complete() && NextRequestIsInvalid()) return MessageDefect::kBytesBehind;
+  return std::nullopt;
 }
 
 RequestReader::Step RequestReader::Parse() {
@@ -60,11 +76,10 @@
   const std::size_t used = parser_->put(buffer_.data(), error);
   buffer_.consume(used);
   if (error == beast_http::error::need_buffer) return {Step::Result::kBodyBlocked, used, {}, {}};
-  if (error == beast_http::error::body_limit) {
-    return Invalid(beast_http::status::payload_too_large, "body too large");
-  }
+  if (error == beast_http::error::body_limit) return Invalid(MessageDefect::kBodyTooLarge);
   if (error && error != beast_http::error::need_more) {
-    return Invalid(beast_http::status::bad_request, error.message());
+    const bool in_body = parser_->is_header_done();
+    return Invalid(in_body ? MessageDefect::kMalformedBody : MessageDefect::kMalformedHead, error.message());
   }
   return {Step::Result::kParsed, used, {}, {}};
 }
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -1,5 +1,6 @@
-// Parses the successive requests of one client connection (RFC 9112). Does no I/O: the connection puts bytes
-// into buffer() and calls Advance() until it makes no more progress.
+// Parses the successive requests of one client connection (RFC 9112) and applies the rules of
+// message_rules.h to them. Does no I/O: the connection puts bytes into buffer() and calls Advance() until it
+// makes no more progress.
 //
 // Owned by a ClientConnection, used on its thread. Holds at most kMaxReadAhead bytes ahead of the parser, a
 // head of kMaxHeaderSize, and a body chunk of the size set by set_chunk_capacity(). An invalid request is
@@ -15,6 +16,7 @@
 #include <utility>
 
 #include "http/incremental_body.h"
+#include "http/message_rules.h"
 #include "http/messages.h"
 
 namespace mothrack::http {
@@ -31,9 +33,9 @@
       kInvalid,      // no further bytes can be parsed as a request
     };
     Result result = Result::kParsed;
-    std::size_t consumed = 0;     // bytes removed from buffer()
-    beast_http::status status{};  // with kInvalid: the status to respond with
-    std::string reason;           // with kInvalid: the text of the response
+    std::size_t consumed = 0;  // bytes removed from buffer()
+    MessageDefect defect{};    // with kInvalid
+    std::string text;          // with kInvalid: the text of the response
   };
   // Parses as much of buffer() as possible in one step.
   Step Advance();
@@ -66,7 +68,10 @@
   bool has_body() const;
   const beast_http::request_header<>& head() const { return parser_->get(); }
   // Moves the head out, whose body is still arriving.
-  beast_http::request_header<> TakeHead() { return std::move(parser_->get().base()); }
+  beast_http::request_header<> TakeHead() {
+    head_taken_ = true;
+    return std::move(parser_->get().base());
+  }
   // Drops what was merged into the head since TakeHead(): the trailers of a chunked body.
   void DropTrailers() { parser_->get().base().clear(); }
 
@@ -79,16 +84,21 @@
   // Moves the complete request out.
   HttpRequest Release();
 
-  // Whether the bytes after the body cannot start a request, which means that the body length was wrong.
+  // Whether the bytes behind the complete request cannot start another one, which means that its length was
+  // wrong.
   bool NextRequestIsInvalid() const;
 
  private:
   boost::beast::string_view Unparsed() const;
   Step Parse();
+  // Checks the rules that apply to a complete head and to a complete request.
+  std::optional<MessageDefect> FindDefect();
 
   boost::beast::flat_buffer buffer_;
   std::optional<beast_http::request_parser<IncrementalBody>> parser_;
   bool started_ = false;
+  bool head_checked_ = false;
+  bool head_taken_ = false;
   bool head_reported_ = false;
   std::size_t head_scanned_ = 0;  // number of bytes of an incomplete head that were already inspected
 };
--- a/src/http/request_writer.cpp
+++ b/src/http/request_writer.cpp
@@ -57,7 +57,7 @@
       return owner_.OnBodyWritten();
     case BodyWriter::Progress::kTruncated:
     case BodyWriter::Progress::kFailed:
-      return owner_.OnBodyFailed();
+      return owner_.OnBodyFailed(progress == BodyWriter::Progress::kTruncated);
   }
 }
 
@@ -66,7 +66,7 @@
   socket_.async_wait(tcp::socket::wait_write, [self = owner_.shared_writer()](error_code error) {
     self->waiting_until_writable_ = false;
     if (!self->socket_.is_open()) return;
-    if (error) return self->owner_.OnBodyFailed();
+    if (error) return self->owner_.OnBodyFailed(false);
     self->Pump();
   });
 }
--- a/src/http/request_writer.h
+++ b/src/http/request_writer.h
@@ -33,8 +33,8 @@
     virtual void OnSocketFull() = 0;
     // The kernel has accepted the whole streamed request.
     virtual void OnBodyWritten() = 0;
-    // The streamed request cannot be completed.
-    virtual void OnBodyFailed() = 0;
+    // The streamed request cannot be completed. `truncated`: because its body broke off.
+    virtual void OnBodyFailed(bool truncated) = 0;
     // Keeps the owner, and this writer with it, alive until the pending handlers have run.
     virtual std::shared_ptr<RequestWriter> shared_writer() = 0;
 
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -34,9 +34,11 @@
     buffer_.consume(used);
     if (error == beast_http::error::need_buffer) return Step::kBodyFull;
     if (error == beast_http::error::need_more || (!error && used == 0)) {
-      return buffer_.size() < buffer_.max_size() ? Step::kNeedsBytes : Step::kInvalid;
+      if (buffer_.size() < buffer_.max_size()) return Step::kNeedsBytes;
+      return Invalid(MessageDefect::kMalformedHead);
     }
-    if (error) return Step::kInvalid;
+    if (error == beast_http::error::body_limit) return Invalid(MessageDefect::kBodyTooLarge);
+    if (error) return Invalid(in_body ? MessageDefect::kMalformedBody : MessageDefect::kMalformedHead);
     if (!in_body && head_complete()) return Step::kHead;
   }
   return Step::kComplete;
@@ -45,7 +47,12 @@
 ResponseReader::Step ResponseReader::AdvanceAtEnd() {
   error_code error;
   parser_->put_eof(error);
-  return !error && complete() ? Step::kComplete : Step::kInvalid;
+  return !error && complete() ? Step::kComplete : Invalid(MessageDefect::kTruncated);
+}
+
+ResponseReader::Step ResponseReader::Invalid(MessageDefect defect) {
+  defect_ = defect;
+  return Step::kInvalid;
 }
 
 boost::asio::mutable_buffer ResponseReader::Prepare(std::size_t size) {
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -1,5 +1,6 @@
-// Parses the responses to one request: interim ones, then the final one (RFC 9112). Does no I/O: the exchange
-// reads bytes into Prepare() and calls Advance() until it needs more.
+// Parses the responses to one request: interim ones, then the final one (RFC 9112), and applies the rules of
+// message_rules.h to them. Does no I/O: the exchange reads bytes into Prepare() and calls Advance() until it
+// needs more.
 //
 // Owned by an UpstreamExchange, used on its thread. No pending operation refers to its storage, so it may be
 // grown or freed at any time (docs/design/pending_operations.md). Holds at most kMaxUpstreamReadAhead bytes
@@ -16,6 +17,7 @@
 #include <string>
 
 #include "http/incremental_body.h"
+#include "http/message_rules.h"
 #include "http/messages.h"
 
 namespace mothrack::http {
@@ -29,20 +31,28 @@
     kHead,        // the head is complete
     kBodyFull,    // the body chunk has reached its capacity and must be emptied, or the capacity raised
     kComplete,    // the whole response is parsed
-    kInvalid,     // the bytes are no response
+    kInvalid,     // the bytes are no sound response, see defect()
   };
   // Parses buffered bytes up to the next point at which the caller has to act.
   Step Advance();
   // The upstream has closed its side, and all bytes before that are parsed: kComplete or kInvalid.
   Step AdvanceAtEnd();
 
+  // With kInvalid: why.
+  MessageDefect defect() const { return defect_; }
+
   // Begins the response after an interim one, keeping the buffered bytes.
   void BeginNextResponse();
 
   // Storage for at most `size` more bytes from the socket; not empty, because Advance() leaves room.
   boost::asio::mutable_buffer Prepare(std::size_t size);
   // `size` bytes were written to the storage of the last Prepare().
-  void Commit(std::size_t size) { buffer_.commit(size); }
+  void Commit(std::size_t size) {
+    buffer_.commit(size);
+    started_ = true;
+  }
+  // Whether any byte has arrived since the reader was made.
+  bool started() const { return started_; }
   // Whether bytes have arrived that belong to no response.
   bool has_unparsed_bytes() const { return buffer_.size() > 0; }
 
@@ -68,8 +78,12 @@
   HttpResponse Release();
 
  private:
+  Step Invalid(MessageDefect defect);
+
   boost::beast::flat_buffer buffer_;
   std::optional<beast_http::response_parser<IncrementalBody>> parser_;
+  MessageDefect defect_{};
+  bool started_ = false;
 };
 
 }  // namespace mothrack::http
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -39,7 +39,9 @@
   for (const auto& [id, exchange] : open_exchanges_) {
     if (exchange->unsent() && exchange->pool() == pool) unsent.push_back(exchange);
   }
-  for (const auto& exchange : unsent) exchange->End(UpstreamExchange::Cause::kNotSent);
+  for (const auto& exchange : unsent) {
+    exchange->End(UpstreamExchange::Cause::kNotSent, ExchangeFailure::kUpstreamGone);
+  }
 }
 
 void HttpTransport::Send(dispatch::ExchangeId id, const std::string& uid,
@@ -83,7 +85,7 @@
   const auto it = open_exchanges_.find(id);
   if (it == open_exchanges_.end()) return;
   const auto exchange = it->second;
-  exchange->End(UpstreamExchange::Cause::kCancelled);
+  exchange->End(UpstreamExchange::Cause::kCancelled, ExchangeFailure::kCancelled);
 }
 
 void HttpTransport::Abandon(dispatch::ExchangeId id) {
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -60,6 +60,9 @@
 void UpstreamConnection::Watch() {
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), use = use_](error_code error) {
     if (error || self->closed_ || self->use_ != use) return;
+    error_code none;
+    runtime::PeekByte(self->socket_, none);
+    if (!none) ++self->counters_.idle_bytes;
     if (const auto pool = self->pool()) pool->Remove(*self);
     self->Close();
   });
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -28,6 +28,8 @@
   // Numbers of connections. `failed` counts those for which connect() did not succeed.
   std::uint64_t opened = 0, failed = 0, closed = 0, evicted = 0;
   std::uint64_t probes = 0;  // probes that were requested
+  // Responses that were not sound, and connections that brought bytes while they were idle.
+  std::uint64_t unsound = 0, idle_bytes = 0;
 };
 
 // The idle connections to one upstream. An upstream that moved or restarted gets a new pool. The old pool,
@@ -65,6 +67,9 @@
   // Must be called before Close().
   void DiscardUnsent();
 
+  // A response on this connection was not sound.
+  void CountUnsound() { ++counters_.unsound; }
+
   bool connected() const { return connected_; }
   bool closed() const { return closed_; }
   runtime::TimePoint idle_since() const { return idle_since_; }
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -126,7 +126,8 @@
 // ---- Connecting and writing ----
 
 void UpstreamExchange::OnConnected(error_code error) {
-  if (error) return End(IsLocalFailure(error) ? Cause::kNotSent : Cause::kBroken);
+  if (error && IsLocalFailure(error)) return End(Cause::kNotSent, ExchangeFailure::kLocalShortage);
+  if (error) return End(Cause::kBroken, ExchangeFailure::kNotConnected);
   if (abandoned_) return FinishUnused();
   BeginWriting();
 }
@@ -151,7 +152,7 @@
   if (written) SetWritten();
   if (pending_end_) return FinishWithoutResponse(*pending_end_);
   if (connection_->closed()) return;
-  if (error) return End(Cause::kBroken);
+  if (error) return End(Cause::kBroken, ExchangeFailure::kWriteFailed);
   phase_ = Phase::kAwaitingResponse;
 }
 
@@ -188,7 +189,7 @@
   connection_->socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
     self->awaiting_bytes_ = false;
     if (self->connection_->closed() || self->phase_ == Phase::kEnded) return;
-    if (error) return self->End(Cause::kBroken);
+    if (error) return self->End(Cause::kBroken, ExchangeFailure::kConnectionReset);
     self->Receive();
   });
 }
@@ -200,7 +201,7 @@
     const std::size_t size = runtime::ReadSome(connection_->socket(), reader_->Prepare(wanted), error);
     if (runtime::WouldBlock(error)) break;
     if (error == boost::asio::error::eof) return OnUpstreamClosed();
-    if (error) return End(Cause::kBroken);
+    if (error) return End(Cause::kBroken, ExchangeFailure::kConnectionReset);
     reader_->Commit(size);
     if (!Process()) return;
   }
@@ -239,7 +240,7 @@
       if (ForwardBody()) FinishWithResponse();
       return false;
     case ResponseReader::Step::kInvalid:
-      End(Cause::kBroken);
+      EndUnsound(reader_->defect());
       return false;
   }
   return false;
@@ -247,6 +248,7 @@
 
 void UpstreamExchange::OnUpstreamClosed() {
   const auto self = shared_from_this();
+  if (!reader_->started()) return End(Cause::kBroken, ExchangeFailure::kClosedUnanswered);
   OnStep(reader_->AdvanceAtEnd());
 }
 
@@ -255,15 +257,10 @@
   if (status / 100 == 1) {
     const bool switches_protocol = status == static_cast<unsigned>(beast_http::status::switching_protocols);
     const bool acceptable = !switches_protocol && ++interim_responses_ <= kMaxInterimResponses;
-    acceptable ? reader_->BeginNextResponse() : End(Cause::kBroken);
+    acceptable ? reader_->BeginNextResponse() : EndUnsound(MessageDefect::kUnexpectedStatus);
     return acceptable;
   }
-  // A 200 before the whole request was written is invalid too.
-  const bool valid = status != 200 || (written_ && reader_->has_defined_end());
-  if (!valid || !ReserveHead()) {
-    End(Cause::kBroken);
-    return false;
-  }
+  if (!AcceptHead(status)) return false;
   const auto length = reader_->content_length();
   const bool buffers = (status != 200 || (length && *length <= kBufferLimit)) &&
                        GrowBodyBuffer(std::min<std::uint64_t>(length.value_or(kBufferLimit), kBufferLimit));
@@ -274,6 +271,22 @@
   return true;
 }
 
+// Returns false if the response must not be used, and ends the exchange then.
+bool UpstreamExchange::AcceptHead(unsigned status) {
+  if (HasTooManyFields(reader_->head())) {
+    EndUnsound(MessageDefect::kTooManyFields);
+  } else if (status == 200 && !written_) {
+    End(Cause::kBroken, ExchangeFailure::kEarlyAnswer);
+  } else if (status == 200 && !reader_->has_defined_end()) {
+    EndUnsound(MessageDefect::kUndefinedEnd);
+  } else if (!response_memory_.Reserve(HeadMemoryBeyondAllowance())) {
+    End(Cause::kBroken, ExchangeFailure::kMemory);
+  } else {
+    return true;
+  }
+  return false;
+}
+
 // A response of known length is buffered for as long as the client's time allows. One of unknown length may
 // be long, so it is streamed earlier: once no other attempt would be made in its place, and 1 s after its
 // head at the latest.
@@ -285,12 +298,6 @@
   ArmTimer(until);
 }
 
-// Returns false if the head has too many fields, or if the budget denies the memory that it takes.
-bool UpstreamExchange::ReserveHead() {
-  if (HasTooManyFields(reader_->head())) return false;
-  return response_memory_.Reserve(HeadMemoryBeyondAllowance());
-}
-
 std::size_t UpstreamExchange::HeadMemoryBeyondAllowance() const {
   const std::size_t head = kResponseHeadCopies * HeadMemory(reader_->head());
   return head > ExchangeMemory::kHeadAllowance ? head - ExchangeMemory::kHeadAllowance : 0;
@@ -357,7 +364,7 @@
 
 void UpstreamExchange::OnBufferingTimeout() {
   if (!ShouldStream()) {
-    if (runtime::Now() >= give_up_at_) return End(Cause::kTimeout);
+    if (runtime::Now() >= give_up_at_) return End(Cause::kTimeout, ExchangeFailure::kSilent);
     return ArmTimer(runtime::Now() < forward_at_ ? forward_at_ : give_up_at_);
   }
   const auto self = shared_from_this();
@@ -367,7 +374,7 @@
 // A long response is streamed. From here on there is no deadline, but the upstream must not pause for long.
 bool UpstreamExchange::StartStreaming() {
   if (!hooks_.on_started) {
-    End(Cause::kBroken);
+    EndUnsound(MessageDefect::kBodyTooLarge);
     return false;
   }
   buffering_.reset();
@@ -394,7 +401,7 @@
 
 void UpstreamExchange::FinishWithResponse() {
   // There are more fields than in OnHeader() if the body had trailers.
-  if (HasTooManyFields(reader_->head())) return End(Cause::kBroken);
+  if (HasTooManyFields(reader_->head())) return EndUnsound(MessageDefect::kTooManyFields);
   // If the response came before the request was fully written, the connection is in the middle of a message
   // and cannot be reused.
   const bool reusable =
@@ -402,6 +409,7 @@
   HttpResponse response = reader_->Release();
   dispatch::ExchangeResult result{OutcomeOf(response), runtime::Now() - started_at_,
                                   ParseLoadReport(response["X-Server-Load"]), nullptr, answer_time_};
+  if (result.outcome != Outcome::kServed) result.cause = LogNameOf(ExchangeFailure::kStatus);
   if (result.outcome == Outcome::kServed && !streaming_) {
     result.reply = std::make_unique<HttpReply>(std::move(response));
   }
@@ -431,8 +439,9 @@
   on_end({Outcome::kNotSent, connection_->idle_since() - started_at_, {}, nullptr});
 }
 
-void UpstreamExchange::End(Cause cause) {
+void UpstreamExchange::End(Cause cause, std::string_view log_cause) {
   if (phase_ == Phase::kEnded || pending_end_) return;
+  log_cause_ = log_cause;
   if (connection_->connected()) connection_->DiscardUnsent();
   CloseConnection();
   if (writer_->pending()) {
@@ -442,19 +451,24 @@
   FinishWithoutResponse(cause);
 }
 
+void UpstreamExchange::EndUnsound(MessageDefect defect) {
+  connection_->CountUnsound();
+  End(Cause::kBroken, LogNameOf(defect));
+}
+
 void UpstreamExchange::FinishWithoutResponse(Cause cause) {
   ReleaseRequestBody();
   const auto stream = std::exchange(response_stream_, nullptr);
   const Outcome outcome = OutcomeOf(cause, written_);
   const auto self = shared_from_this();
   const auto on_end = MarkEnded();
-  on_end({outcome, runtime::Now() - started_at_, {}, nullptr, answer_time_});
+  on_end({outcome, runtime::Now() - started_at_, {}, nullptr, answer_time_, log_cause_});
   if (stream) stream->End(runtime::Stream::State::kTruncated);
 }
 
 void UpstreamExchange::Abandon() {
   if (phase_ == Phase::kConnecting) abandoned_ = true;
-  if (phase_ == Phase::kWriting && !written_) End(Cause::kCancelled);
+  if (phase_ == Phase::kWriting && !written_) End(Cause::kCancelled, ExchangeFailure::kCancelled);
 }
 
 void UpstreamExchange::Close() {
@@ -511,7 +525,7 @@
   // The timer may have fired just before it was re-armed.
   if (timer_.expiry() > std::chrono::steady_clock::now()) return;
   if (buffering_) return OnBufferingTimeout();
-  End(Cause::kTimeout);
+  End(Cause::kTimeout, ExchangeFailure::kSilent);
 }
 
 }  // namespace mothrack::http
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -15,9 +15,12 @@
 #include <boost/system/error_code.hpp>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "dispatch/exchange.h"
+#include "http/exchange_failure.h"
 #include "http/exchange_memory.h"
+#include "http/message_rules.h"
 #include "http/messages.h"
 #include "http/request_writer.h"
 #include "http/response_reader.h"
@@ -68,7 +71,7 @@
   // another request. Whether the last byte was written is decided only when no write is pending: a write that
   // the kernel has accepted, but whose handler has not run yet, counts as written. The safety of a retry
   // depends on this.
-  void End(Cause cause);
+  void End(Cause cause, ExchangeFailure failure) { End(cause, LogNameOf(failure)); }
 
   // The request has its final answer already. A connection that is established later must not carry this
   // exchange, because the request would run after its final answer.
@@ -93,7 +96,9 @@
   void OnBodyAwaited() override;
   void OnSocketFull() override;
   void OnBodyWritten() override;
-  void OnBodyFailed() override { End(Cause::kBroken); }
+  void OnBodyFailed(bool truncated) override {
+    End(Cause::kBroken, truncated ? ExchangeFailure::kRequestBroke : ExchangeFailure::kWriteFailed);
+  }
   std::shared_ptr<RequestWriter> shared_writer() override { return {shared_from_this(), writer_.get()}; }
   void SetWritten();
 
@@ -109,7 +114,7 @@
   bool ForwardBody();
   bool PrepareStreamCapacity();
   void OnUpstreamClosed();
-  bool ReserveHead();
+  bool AcceptHead(unsigned status);
   std::size_t HeadMemoryBeyondAllowance() const;
   bool GrowBodyBuffer(std::size_t size);
   void BeginBuffering();
@@ -118,6 +123,9 @@
   bool StartStreaming();
 
   // Ending
+  void End(Cause cause, std::string_view log_cause);
+  // The response is not sound.
+  void EndUnsound(MessageDefect defect);
   void FinishWithResponse();
   void FinishUnused();
   void FinishWithoutResponse(Cause cause);
@@ -148,6 +156,7 @@
   std::shared_ptr<runtime::Stream> response_stream_;  // the body of a response that is being streamed
   Phase phase_ = Phase::kEnded;
   std::optional<Cause> pending_end_;  // cause of an end that waits for the pending write
+  std::string_view log_cause_;        // of the end, for the log; a literal
   int interim_responses_ = 0;
   bool request_arriving_ = false;  // the request body was still arriving at Start() and is not fully written
   bool written_ = false;           // the last byte of the request was written
--- a/src/sidecar/counter_logger.cpp
+++ b/src/sidecar/counter_logger.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
 
 #include "admin/report.h"
@@ -30,24 +31,30 @@
     {"given_up", &DecisionCounts::given_up}, {"ejected", &DecisionCounts::ejected},
     {"returned", &DecisionCounts::returned}};
 using ConnectionCounts = http::HttpTransport::Counts;
-constexpr Named<ConnectionCounts> kConnections[] = {{"opened", &ConnectionCounts::opened},
-                                                    {"never_up", &ConnectionCounts::failed},
-                                                    {"closed", &ConnectionCounts::closed},
-                                                    {"evicted", &ConnectionCounts::evicted},
-                                                    {"probes", &ConnectionCounts::probes}};
+constexpr Named<ConnectionCounts> kConnections[] = {
+    {"opened", &ConnectionCounts::opened},        {"never_up", &ConnectionCounts::failed},
+    {"closed", &ConnectionCounts::closed},        {"evicted", &ConnectionCounts::evicted},
+    {"probes", &ConnectionCounts::probes},        {"unsound_answers", &ConnectionCounts::unsound},
+    {"idle_bytes", &ConnectionCounts::idle_bytes}};
 using DiscoveryCounts = discovery::Discovery::Counts;
 constexpr Named<DiscoveryCounts> kDiscovery[] = {
     {"calls", &DiscoveryCounts::calls},          {"whole_asked", &DiscoveryCounts::full_list_calls},
     {"calls_failed", &DiscoveryCounts::failed},  {"lists", &DiscoveryCounts::full_lists},
     {"changes", &DiscoveryCounts::change_lists}, {"lines", &DiscoveryCounts::upstreams}};
 
+// The name of a counter of clients: the prefix and a reason.
+template <typename Reason>
+std::string NameOf(const char* prefix, std::size_t reason) {
+  return prefix + std::string(http::LogNameOf(static_cast<Reason>(reason)));
+}
+
 double Rounded(double value) { return std::round(value * 100) / 100; }
 
 // Adds the increments of the counters that grew since the previous line.
 class CounterDelta {
  public:
   explicit CounterDelta(json& line) : line_(line) {}
-  void Put(const char* name, std::uint64_t now, std::uint64_t before) {
+  void Put(const std::string& name, std::uint64_t now, std::uint64_t before) {
     if (now != before) line_[name] = now - before;
   }
   template <typename Counts, std::size_t kCount>
@@ -104,6 +111,14 @@
   const ConnectionCounts connections = sidecar_.transport().counts();
   delta.PutAll(kConnections, connections, connections_);
   connections_ = connections;
+  const http::ClientLog::Counts clients = sidecar_.client_counts();
+  for (std::size_t i = 0; i < http::kRejections; ++i) {
+    delta.Put(NameOf<http::Rejection>("rejected_", i), clients.rejected[i], clients_.rejected[i]);
+  }
+  for (std::size_t i = 0; i < http::kCloseReasons; ++i) {
+    delta.Put(NameOf<http::CloseReason>("closed_", i), clients.closed[i], clients_.closed[i]);
+  }
+  clients_ = clients;
   const DiscoveryCounts discovery = sidecar_.discovery().counts();
   delta.PutAll(kDiscovery, discovery, discovery_);
   discovery_ = discovery;
--- a/src/sidecar/counter_logger.h
+++ b/src/sidecar/counter_logger.h
@@ -43,6 +43,7 @@
   // The counters as of the previous line.
   balancer::Counts decisions_;
   http::HttpTransport::Counts connections_;
+  http::ClientLog::Counts clients_;
   discovery::Discovery::Counts discovery_;
   std::uint64_t memory_denied_ = 0;
   std::map<std::string, Attempts> attempts_;  // by upstream id
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -87,6 +87,7 @@
   // State that the admin API and the logs report.
   const dispatch::Dispatcher& dispatcher() const { return dispatcher_; }
   const http::HttpTransport& transport() const { return transport_; }
+  const http::ClientLog::Counts& client_counts() const { return front_.client_counts(); }
   const discovery::Discovery& discovery() const { return discovery_; }
   const runtime::MemoryBudget& memory() const { return budget_; }
   // How often a waiting client was found by polling only (docs/design/wakeups.md).
