Requests: bytes behind one are looked for until its answer begins, streamed bodies included

What callers saw: a request whose length was shorter than its body was answered with 200, unless all of it came in one read.

Cause: ClientConnection::Serve() looked at the bytes behind a body once, in the buffer, when the body was complete, and not at all if the body was streamed (FinishUpload() only closed the connection afterwards). Whether they were seen depended on where a read ended, on the size of the body and, since a full memory budget streams short bodies too, on load. A streamed body that could not be read ended with a close and no answer.

Change: RequestReader applies the rule to every complete request. The connection applies it again with each read while the request is out and, with a look into the kernel's buffer, right before a 200 begins; of a streamed body the last piece is held back until then. The request gets 400, its attempts are cancelled, and none follows. Trailers of a streamed body are held to the same rules as others. It works because the evidence is evaluated at each point where new bytes are known, and last where the answer could still be changed.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstdint>
@@ -22,6 +23,8 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadSize = 8192;
+// How much of what follows a request is looked at before its answer begins.
+constexpr std::size_t kPeekSize = 64;
 // How much of a request is read although the budget denies it.
 constexpr std::size_t kUnclaimedRead = 1024;
 // How many copies of a response's head there are while it is written: the fields, and for a streamed body
@@ -42,10 +45,6 @@
   return {id.data(), std::min(id.size(), kMaxRequestIdSize)};
 }
 
-bool IsHealthCheck(const beast_http::request_header<>& head) {
-  return head.target() == "/up" && head.method() == beast_http::verb::get;
-}
-
 }  // namespace
 
 ClientConnection::ClientConnection(Owner& owner, runtime::Descriptors& descriptors,
@@ -291,6 +290,7 @@
   parsing_ = true;
   Parse();
   parsing_ = false;
+  if (phase_ == Phase::kServing && !upload_ && reader_.BytesBehindAreUnsound()) RejectBytesBehind();
   // A client that waits for responses does not pipeline this much. Reading and discarding continues, because
   // it reveals whether the client has disconnected.
   if (phase_ != Phase::kReading && !upload_ && reader_.buffer().size() == kMaxReadAhead) {
@@ -421,9 +421,7 @@
   // The client may have disconnected while its request waited in the buffer.
   if (ClientDisconnected()) return Close(CloseReason::kClientLeft);
   auto reply = [self = shared_from_this()](HttpResponse response, StreamedBody response_body) {
-    if (!response_body) self->observer_ = {};
-    if (!self->closed_) return self->Respond(std::move(response), std::move(response_body));
-    if (response_body) response_body.stream->Abandon();
+    self->OnReply(std::move(response), std::move(response_body));
   };
   // With the trailers, and without the part of the body's buffer that was not needed.
   if (!request.body().empty()) {
@@ -453,7 +451,13 @@
 // Returns false if nothing more can be parsed for now.
 bool ClientConnection::ContinueUpload(const RequestReader::Step& step) {
   if (step.result == RequestReader::Step::Result::kInvalid) {
-    Close(CloseReason::kUnsound);
+    EndRequest();
+    RejectUnsound(step.defect, step.text);
+    return false;
+  }
+  // The last piece is passed on only if the request is sound.
+  if (reader_.complete() && BytesBehindAreUnsound()) {
+    RejectBytesBehind();
     return false;
   }
   if (!ForwardChunk()) return false;
@@ -473,8 +477,6 @@
 
 void ClientConnection::FinishUpload() {
   const auto upload = std::exchange(upload_, nullptr);
-  reader_.DropTrailers();
-  if (reader_.NextRequestIsInvalid()) close_after_ = true;
   upload_arrival_.OnComplete(runtime::Now());
   if (const auto on_complete = std::exchange(observer_.on_complete, nullptr)) {
     on_complete(upload_arrival_.last_byte_at());
@@ -482,6 +484,32 @@
   upload->End(runtime::Stream::State::kComplete);
 }
 
+// Whether what has arrived behind the complete request shows that its length was wrong. Looks at the kernel's
+// buffer as well.
+bool ClientConnection::BytesBehindAreUnsound() {
+  if (pipeline_overflowed_) return false;
+  std::array<char, kPeekSize> bytes;
+  error_code ignored;
+  const std::size_t size = runtime::Peek(socket_, boost::asio::buffer(bytes), ignored);
+  return reader_.BytesBehindAreUnsound({bytes.data(), size});
+}
+
+// The request may have been sent to upstreams; its attempts are cancelled.
+void ClientConnection::RejectBytesBehind() {
+  EndRequest();
+  RejectUnsound(MessageDefect::kBytesBehind, TextOf(MessageDefect::kBytesBehind));
+}
+
+// What has arrived by now counts: nothing of an unsound request is served.
+void ClientConnection::OnReply(HttpResponse response, StreamedBody streamed_body) {
+  if (!streamed_body) observer_ = {};
+  const bool serves = !closed_ && response.result() == beast_http::status::ok;
+  const bool unsound = serves && BytesBehindAreUnsound();
+  if (!closed_ && !unsound) return Respond(std::move(response), std::move(streamed_body));
+  if (streamed_body) streamed_body.stream->Abandon();
+  if (unsound) RejectBytesBehind();
+}
+
 void ClientConnection::ObserveUpload(runtime::TimePoint now) {
   error_code error;
   const std::size_t in_kernel = socket_.available(error);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -148,6 +148,9 @@
   bool ContinueUpload(const RequestReader::Step& step);
   bool ForwardChunk();
   void FinishUpload();
+  bool BytesBehindAreUnsound();
+  void RejectBytesBehind();
+  void OnReply(HttpResponse response, StreamedBody streamed_body);
   void ObserveUpload(runtime::TimePoint now);
   void RejectUnsound(MessageDefect defect, const std::string& text);
   void RejectForMemory();
--- a/src/http/message_rules.cpp
+++ b/src/http/message_rules.cpp
@@ -18,7 +18,7 @@
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
-bool IsVisible(char c) { return c > ' ' && c < 127; }
+bool IsTargetByte(char c) { return c > ' ' && c < 127; }
 
 // How the body is framed (RFC 9112 section 6).
 std::optional<MessageDefect> FindFramingDefect(const beast_http::fields& fields, unsigned version) {
@@ -57,8 +57,16 @@
       return "unknown_coding";
     case MessageDefect::kMalformedLength:
       return "malformed_length";
+    case MessageDefect::kMissingHost:
+      return "missing_host";
+    case MessageDefect::kRepeatedHost:
+      return "repeated_host";
+    case MessageDefect::kMalformedHost:
+      return "malformed_host";
     case MessageDefect::kMalformedTarget:
       return "malformed_target";
+    case MessageDefect::kForbiddenTrailer:
+      return "forbidden_trailer";
     case MessageDefect::kMalformedBody:
       return "malformed_body";
     case MessageDefect::kBodyTooLarge:
@@ -93,8 +101,16 @@
       return "unknown Transfer-Encoding";
     case MessageDefect::kMalformedLength:
       return "bad Content-Length";
+    case MessageDefect::kMissingHost:
+      return "no Host";
+    case MessageDefect::kRepeatedHost:
+      return "more than one Host";
+    case MessageDefect::kMalformedHost:
+      return "bad Host";
     case MessageDefect::kMalformedTarget:
       return "bad target";
+    case MessageDefect::kForbiddenTrailer:
+      return "a field that must not be a trailer";
     case MessageDefect::kMalformedBody:
       return "bad body";
     case MessageDefect::kBodyTooLarge:
@@ -130,8 +146,21 @@
   if (HasTooManyFields(head)) return MessageDefect::kTooManyFields;
   if (const auto defect = FindFramingDefect(head, head.version())) return defect;
   const string_view target = head.target();
-  if (!std::all_of(target.begin(), target.end(), IsVisible)) return MessageDefect::kMalformedTarget;
+  if (!std::all_of(target.begin(), target.end(), IsTargetByte)) return MessageDefect::kMalformedTarget;
   return std::nullopt;
 }
 
+std::optional<MessageDefect> FindTrailerDefect(const beast_http::fields& trailers) {
+  if (HasTooManyFields(trailers)) return MessageDefect::kTooManyFields;
+  for (const auto field :
+       {beast_http::field::content_length, beast_http::field::transfer_encoding, beast_http::field::host}) {
+    if (trailers.count(field) > 0) return MessageDefect::kForbiddenTrailer;
+  }
+  return std::nullopt;
+}
+
+bool IsHealthCheck(const beast_http::request_header<>& head) {
+  return head.target() == "/up" && head.method() == beast_http::verb::get;
+}
+
 }  // namespace mothrack::http
--- a/src/http/message_rules.h
+++ b/src/http/message_rules.h
@@ -19,21 +19,25 @@
 
 // Why a message is not sound.
 enum class MessageDefect {
-  kMalformedHead,    // a line of the head that another parser might read differently, or a head too long
-  kUnknownVersion,   // neither HTTP/1.0 nor HTTP/1.1
-  kTooManyFields,    // more than kMaxHeaderFields
-  kLengthAndCoding,  // both Content-Length and Transfer-Encoding
-  kRepeatedFraming,  // one of these twice
-  kCodingInHttp10,   // Transfer-Encoding in HTTP/1.0
-  kUnknownCoding,    // a Transfer-Encoding other than chunked
-  kMalformedLength,  // a Content-Length that is not a decimal number
-  kMalformedTarget,  // a request target with bytes that are not visible ASCII
-  kMalformedBody,    // a chunk, a trailer or a length that the parser can't read
-  kBodyTooLarge,     // more than kMaxBodySize
-  kBytesBehind,      // what follows the message can't begin another one, so its length is wrong
-  kUndefinedEnd,     // a response whose head doesn't say where it ends
-  kTruncated,        // a response that ended before its end
-  kUnexpectedStatus  // an interim response that the request didn't ask for, or too many
+  kMalformedHead,     // a line of the head that another parser might read differently, or a head too long
+  kUnknownVersion,    // neither HTTP/1.0 nor HTTP/1.1
+  kTooManyFields,     // more than kMaxHeaderFields
+  kLengthAndCoding,   // both Content-Length and Transfer-Encoding
+  kRepeatedFraming,   // one of these twice
+  kCodingInHttp10,    // Transfer-Encoding in HTTP/1.0
+  kUnknownCoding,     // a Transfer-Encoding other than chunked
+  kMalformedLength,   // a Content-Length that is not a decimal number
+  kMissingHost,       // no Host in a request of HTTP/1.1 (RFC 9112 section 3.2)
+  kRepeatedHost,      // more than one
+  kMalformedHost,     // a Host that is no host with an optional port (RFC 3986 section 3.2.2)
+  kMalformedTarget,   // a request target with a fragment or with bytes that are not visible ASCII
+  kForbiddenTrailer,  // a trailer that would frame or route the request (RFC 9110 section 6.5.1)
+  kMalformedBody,     // a chunk, a trailer or a length that the parser can't read
+  kBodyTooLarge,      // more than kMaxBodySize
+  kBytesBehind,       // what follows the message can't begin another one, so its length is wrong
+  kUndefinedEnd,      // a response whose head doesn't say where it ends
+  kTruncated,         // a response that ended before its end
+  kUnexpectedStatus   // an interim response that the request didn't ask for, or too many
 };
 
 // The name of a defect in the log: a snake_case word.
@@ -53,7 +57,12 @@
 HeadStatus InspectHead(boost::beast::string_view bytes, std::size_t& scanned);
 
 // Returns the first defect of a complete request head. Also called with the trailers of a chunked body merged
-// into the head.
+// into the head. A health check needs no Host, because it is never forwarded.
 std::optional<MessageDefect> FindDefect(const beast_http::request_header<>& head);
+// Returns the first defect of the trailers of a chunked body whose head is checked already.
+std::optional<MessageDefect> FindTrailerDefect(const beast_http::fields& trailers);
+
+// Whether the request asks if the sidecar is up.
+bool IsHealthCheck(const beast_http::request_header<>& head);
 
 }  // namespace mothrack::http
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -30,6 +30,7 @@
   head_taken_ = false;
   head_reported_ = false;
   head_scanned_ = 0;
+  behind_scanned_ = 0;
 }
 
 // As flat_buffer::prepare() allocates.
@@ -57,17 +58,25 @@
   return step;
 }
 
-// The trailers of a chunked body are merged into its head, so that is checked again. Bytes behind the body
-// must look like the start of a request.
 std::optional<MessageDefect> RequestReader::FindDefect() {
-  const bool head_completed = parser_->is_header_done() && !std::exchange(head_checked_, true);
-  if (!head_completed && !complete()) return std::nullopt;
-  if (head_taken_) return std::nullopt;
-  if (const auto defect = http::FindDefect(parser_->get().base())) return defect;
-  if (complete() && NextRequestIsInvalid()) return MessageDefect::kBytesBehind;
+  if (parser_->is_header_done() && !std::exchange(head_checked_, true)) {
+    if (const auto defect = http::FindDefect(parser_->get().base())) return defect;
+  } else if (complete()) {
+    if (const auto defect = FindDefectOfTrailers()) return defect;
+  }
+  if (complete() && BytesBehindAreUnsound()) return MessageDefect::kBytesBehind;
   return std::nullopt;
 }
 
+// The trailers of a chunked body are merged into its head, which was sound, unless that was taken.
+std::optional<MessageDefect> RequestReader::FindDefectOfTrailers() const {
+  const auto& head = parser_->get().base();
+  if (head_taken_) return FindTrailerDefect(head);
+  const auto defect = http::FindDefect(head);
+  if (!defect || *defect == MessageDefect::kTooManyFields) return defect;
+  return MessageDefect::kForbiddenTrailer;
+}
+
 RequestReader::Step RequestReader::Parse() {
   // The head is parsed on its own: if head and body are parsed in one call, Beast 1.74 loses the error that
   // the body exceeds its limit.
@@ -106,9 +115,14 @@
   return request;
 }
 
-bool RequestReader::NextRequestIsInvalid() const {
+bool RequestReader::BytesBehindAreUnsound(boost::beast::string_view unread) {
+  const bool buffered = buffer_.size() > 0;
+  const HeadStatus status = buffered ? InspectHead(Unparsed(), behind_scanned_) : HeadStatus::kPartial;
+  if (status != HeadStatus::kPartial || unread.empty()) return status == HeadStatus::kInvalid;
   std::size_t scanned = 0;
-  return buffer_.size() > 0 && InspectHead(Unparsed(), scanned) == HeadStatus::kInvalid;
+  if (!buffered) return InspectHead(unread, scanned) == HeadStatus::kInvalid;
+  const std::string bytes = std::string(Unparsed()) + std::string(unread);
+  return InspectHead(bytes, scanned) == HeadStatus::kInvalid;
 }
 
 boost::beast::string_view RequestReader::Unparsed() const {
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -72,9 +72,6 @@
     head_taken_ = true;
     return std::move(parser_->get().base());
   }
-  // Drops what was merged into the head since TakeHead(): the trailers of a chunked body.
-  void DropTrailers() { parser_->get().base().clear(); }
-
   // Body bytes that were parsed. The caller reads them and clears the string.
   std::string& chunk() { return parser_->get().body().bytes; }
   // The number of body bytes at which the parser stops until they are taken or the capacity is increased.
@@ -84,15 +81,16 @@
   // Moves the complete request out.
   HttpRequest Release();
 
-  // Whether the bytes behind the complete request cannot start another one, which means that its length was
-  // wrong.
-  bool NextRequestIsInvalid() const;
+  // Whether the bytes behind the complete request cannot begin another one, which means that its length was
+  // wrong. `unread` are those behind buffer(), which are not read yet.
+  bool BytesBehindAreUnsound(boost::beast::string_view unread = {});
 
  private:
   boost::beast::string_view Unparsed() const;
   Step Parse();
   // Checks the rules that apply to a complete head and to a complete request.
   std::optional<MessageDefect> FindDefect();
+  std::optional<MessageDefect> FindDefectOfTrailers() const;
 
   boost::beast::flat_buffer buffer_;
   std::optional<beast_http::request_parser<IncrementalBody>> parser_;
@@ -100,7 +98,8 @@
   bool head_checked_ = false;
   bool head_taken_ = false;
   bool head_reported_ = false;
-  std::size_t head_scanned_ = 0;  // number of bytes of an incomplete head that were already inspected
+  std::size_t head_scanned_ = 0;    // number of bytes of an incomplete head that were already inspected
+  std::size_t behind_scanned_ = 0;  // the same for the bytes behind the complete request
 };
 
 }  // namespace mothrack::http
--- a/src/runtime/system_calls.h
+++ b/src/runtime/system_calls.h
@@ -47,14 +47,23 @@
   return size;
 }
 
-// Peeks at one byte (MSG_PEEK) of a non-blocking socket. Without an error there is something to read. The
-// error would_block means that there is nothing to read and that the connection is open.
+// Copies what can be read (MSG_PEEK) from a non-blocking socket and returns its size. Without an error there
+// is something to read. The error would_block means that there is nothing to read and that the connection is
+// open.
+template <typename Socket, typename Buffers>
+std::size_t Peek(Socket& socket, const Buffers& buffers, boost::system::error_code& error) {
+  std::size_t size = 0;
+  do {
+    size = socket.receive(buffers, Socket::message_peek, error);
+  } while (error == boost::asio::error::interrupted);
+  return error ? 0 : size;
+}
+
+// The same for one byte, whose value does not matter.
 template <typename Socket>
 void PeekByte(Socket& socket, boost::system::error_code& error) {
   char byte = 0;
-  do {
-    socket.receive(boost::asio::buffer(&byte, 1), Socket::message_peek, error);
-  } while (error == boost::asio::error::interrupted);
+  Peek(socket, boost::asio::buffer(&byte, 1), error);
 }
 
 // Configures an accepted connection: TCP_NODELAY, non-blocking. Errors are ignored, since a socket that fails
