Requests: Host is checked by RFC 9112, and a fragment in the target is rejected

What callers saw: a request of HTTP/1.1 without Host, with two, or with one that is no host was answered with 200, and so was one with a fragment in its target.

Cause: no check had these rules (RFC 9112 sections 3.2 and 3.2.4); Beast's parser has none of them.

A health check needs no Host, because it is never forwarded. Requests in client_requests_test.cpp that are meant to fail for another reason have a Host now, so that they still fail for that one.

--- a/src/http/message_rules.cpp
+++ b/src/http/message_rules.cpp
@@ -1,6 +1,9 @@
 #include "http/message_rules.h"
 
 #include <algorithm>
+#include <boost/asio/ip/address_v6.hpp>
+#include <boost/system/error_code.hpp>
+#include <string>
 
 #include "http/head_memory.h"
 
@@ -18,7 +21,43 @@
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
-bool IsTargetByte(char c) { return c > ' ' && c < 127; }
+bool IsTargetByte(char c) { return c > ' ' && c < 127 && c != '#'; }
+
+// reg-name of RFC 3986, which includes IPv4 addresses: unreserved, percent-encoded and sub-delims.
+bool IsHostByte(char c) {
+  constexpr std::string_view kPunctuation = "-._~%!$&'()*+,;=";
+  const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  return letter || IsDigit(c) || kPunctuation.find(c) != std::string_view::npos;
+}
+
+// Whether the value is `host [":" port]`, each possibly empty.
+bool IsHost(string_view value) {
+  string_view port;
+  if (!value.empty() && value.front() == '[') {
+    const auto end = value.find(']');
+    if (end == string_view::npos) return false;
+    boost::system::error_code error;
+    boost::asio::ip::make_address_v6(std::string(value.substr(1, end - 1)), error);
+    if (error) return false;
+    port = value.substr(end + 1);
+  } else {
+    const auto end = std::min(value.find(':'), value.size());
+    const string_view name = value.substr(0, end);
+    if (!std::all_of(name.begin(), name.end(), IsHostByte)) return false;
+    port = value.substr(end);
+  }
+  if (port.empty()) return true;
+  return port.front() == ':' && std::all_of(port.begin() + 1, port.end(), IsDigit);
+}
+
+std::optional<MessageDefect> FindHostDefect(const beast_http::request_header<>& head) {
+  const auto hosts = head.count(beast_http::field::host);
+  if (hosts > 1) return MessageDefect::kRepeatedHost;
+  if (hosts == 1 && !IsHost(head[beast_http::field::host])) return MessageDefect::kMalformedHost;
+  const bool required = head.version() == 11 && !IsHealthCheck(head);
+  if (hosts == 0 && required) return MessageDefect::kMissingHost;
+  return std::nullopt;
+}
 
 // How the body is framed (RFC 9112 section 6).
 std::optional<MessageDefect> FindFramingDefect(const beast_http::fields& fields, unsigned version) {
@@ -147,7 +186,7 @@
   if (const auto defect = FindFramingDefect(head, head.version())) return defect;
   const string_view target = head.target();
   if (!std::all_of(target.begin(), target.end(), IsTargetByte)) return MessageDefect::kMalformedTarget;
-  return std::nullopt;
+  return FindHostDefect(head);
 }
 
 std::optional<MessageDefect> FindTrailerDefect(const beast_http::fields& trailers) {
--- a/tests/sidecar/client_requests_test.cpp
+++ b/tests/sidecar/client_requests_test.cpp
@@ -45,7 +45,7 @@
   };
   const std::vector<std::pair<std::string, unsigned>> cases = {
       {"what is this\r\n\r\n", 400},
-      {"HEAD /page/k HTTP/1.1\r\n" + id + time + "\r\n", 400},
+      {"HEAD /page/k HTTP/1.1\r\nHost: x\r\n" + id + time + "\r\n", 400},
       {"GET /page/k HTTP/1.1\r\nno colon here\r\n\r\n", 400},
       {get("/unknown/k", id + time), 400},
       {get("/", id + time), 400},
@@ -63,8 +63,8 @@
       {get("/page/k", id + "X-Timeout-Ms: 1.5\r\n"), 400},
       {get("/page/k", id + time + "X-Fill: " + std::string(20000, 'a') + "\r\n"), 400},
       {PostText("/page/k", "a1", std::string(65537, 'x')), 400},
-      {"POST /submit/k HTTP/1.1\r\n" + id + time + "Content-Length: 70000000\r\n\r\nhalf", 413},
-      {"POST /page/k HTTP/1.1\r\n" + id + time + "Transfer-Encoding: chunked\r\n\r\n4400000\r\n" +
+      {"POST /submit/k HTTP/1.1\r\nHost: x\r\n" + id + time + "Content-Length: 70000000\r\n\r\nhalf", 413},
+      {"POST /page/k HTTP/1.1\r\nHost: x\r\n" + id + time + "Transfer-Encoding: chunked\r\n\r\n4400000\r\n" +
            std::string(1000, 'x'),
        413}};
   for (const auto& [text, status] : cases) {
@@ -107,7 +107,8 @@
   const std::string chunked = "Transfer-Encoding: chunked\r\n";
   const std::string chunks = "0\r\n\r\n";
   const auto get = [&](const std::string& headers) {
-    return "GET /page/k HTTP/1.1\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n" + headers + "\r\n" + next;
+    return "GET /page/k HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n" + headers +
+           "\r\n" + next;
   };
   const std::vector<std::string> cases = {
       post(length + chunked, chunks),
@@ -145,10 +146,10 @@
       get(std::string("X-Nul: a\0b\r\n", 13)),
       get("Idempotency-Key : x\r\n"),
       get("Connection: X-Request-ID\r\n"),
-      "GET /page/k HTTP/2.0\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
-      "GET /page/\x80 HTTP/1.1\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
-      "PUT /page/k HTTP/1.1\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
-      "GET /submit/k HTTP/1.1\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
+      "GET /page/k HTTP/2.0\r\nHost: x\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
+      "GET /page/\x80 HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
+      "PUT /page/k HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
+      "GET /submit/k HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 1000\r\n\r\n" + next,
       post(length, "12345", "/page/k"),
       post(length, "12345", "/keyed/k"),
       post(length + "Idempotency-Key: k\r\n", "12345"),
@@ -168,11 +169,12 @@
   ASSERT_TRUE(node.Listening());
   Client idle(node.port());
   Client half(node.port());
-  ASSERT_TRUE(half.Send("GET /page/k HTTP/1.1\r\nX-"));
+  ASSERT_TRUE(half.Send("GET /page/k HTTP/1.1\r\nHost: x\r\nX-"));
   Client body(node.port());
-  ASSERT_TRUE(body.Send("POST /submit/k HTTP/1.1\r\nX-Request-ID: b1\r\nContent-Length: 9\r\n\r\nx"));
+  ASSERT_TRUE(
+      body.Send("POST /submit/k HTTP/1.1\r\nHost: x\r\nX-Request-ID: b1\r\nContent-Length: 9\r\n\r\nx"));
   Client trickling(node.port());
-  ASSERT_TRUE(trickling.Send("GET /page/k HTTP/1.1\r\nX-Slow: "));
+  ASSERT_TRUE(trickling.Send("GET /page/k HTTP/1.1\r\nHost: x\r\nX-Slow: "));
   std::atomic<bool> ended{false};
   std::thread feeding([&] {
     while (!ended && trickling.Send("a")) std::this_thread::sleep_for(milliseconds(20));
