Answers: one whose length is too short or ambiguous is a failed attempt

What callers saw: 200 with a part of the answer, for all classes, where the upstream's Content-Length was shorter than its body; and 200 for answers with two equal lengths, and for HTTP/1.0 with a transfer coding.

Cause: bytes behind an answer only kept the connection from being used again (FinishWithResponse()); the head of an answer was checked by Beast's parser alone, which takes repeated equal lengths and codings in HTTP/1.0.

Evidence: UnsoundAnswers.NoFormIsServed, red on these forms in short, long and streamed answers, and AreLoggedWithTheirDefect.

When a 200 is complete, the bytes that were read behind it and those in the kernel's buffer are looked at before it is passed on. A status line is a message of its own and leaves the answer good; anything else makes it a failed attempt that may have run.

--- a/src/http/message_rules.cpp
+++ b/src/http/message_rules.cpp
@@ -76,6 +76,12 @@
   return std::nullopt;
 }
 
+std::optional<MessageDefect> FindDefectOfAnyHead(const beast_http::fields& fields, unsigned version) {
+  if (version != 10 && version != 11) return MessageDefect::kUnknownVersion;
+  if (HasTooManyFields(fields)) return MessageDefect::kTooManyFields;
+  return FindFramingDefect(fields, version);
+}
+
 }  // namespace
 
 std::string_view LogNameOf(MessageDefect defect) {
@@ -181,9 +187,7 @@
 }
 
 std::optional<MessageDefect> FindDefect(const beast_http::request_header<>& head) {
-  if (head.version() != 10 && head.version() != 11) return MessageDefect::kUnknownVersion;
-  if (HasTooManyFields(head)) return MessageDefect::kTooManyFields;
-  if (const auto defect = FindFramingDefect(head, head.version())) return defect;
+  if (const auto defect = FindDefectOfAnyHead(head, head.version())) return defect;
   const string_view target = head.target();
   if (!std::all_of(target.begin(), target.end(), IsTargetByte)) return MessageDefect::kMalformedTarget;
   return FindHostDefect(head);
@@ -198,6 +202,14 @@
   return std::nullopt;
 }
 
+std::optional<MessageDefect> FindDefect(const beast_http::response_header<>& head) {
+  return FindDefectOfAnyHead(head, head.version());
+}
+
+bool AreBytesBehindResponseUnsound(string_view bytes) {
+  return !bytes.empty() && !bytes.starts_with("HTTP/1.");
+}
+
 bool IsHealthCheck(const beast_http::request_header<>& head) {
   return head.target() == "/up" && head.method() == beast_http::verb::get;
 }
--- a/src/http/message_rules.h
+++ b/src/http/message_rules.h
@@ -62,6 +62,13 @@
 // Returns the first defect of the trailers of a chunked body whose head is checked already.
 std::optional<MessageDefect> FindTrailerDefect(const beast_http::fields& trailers);
 
+// The same of a complete response head. Whether its end is defined depends on its status, see ResponseReader.
+std::optional<MessageDefect> FindDefect(const beast_http::response_header<>& head);
+
+// Whether what follows a complete response shows that its length was wrong. A status line does not: it begins
+// a message of its own. Anything else may be the rest of the body.
+bool AreBytesBehindResponseUnsound(boost::beast::string_view bytes);
+
 // Whether the request asks if the sidecar is up.
 bool IsHealthCheck(const beast_http::request_header<>& head);
 
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -39,7 +39,10 @@
     }
     if (error == beast_http::error::body_limit) return Invalid(MessageDefect::kBodyTooLarge);
     if (error) return Invalid(in_body ? MessageDefect::kMalformedBody : MessageDefect::kMalformedHead);
-    if (!in_body && head_complete()) return Step::kHead;
+    if (!in_body && head_complete()) {
+      if (const auto defect = FindDefect(head())) return Invalid(*defect);
+      return Step::kHead;
+    }
   }
   return Step::kComplete;
 }
@@ -65,9 +68,13 @@
 }
 
 bool ResponseReader::has_defined_end() const {
-  const auto codings = head().count(beast_http::field::transfer_encoding);
-  if (codings == 0) return content_length().has_value() || !parser_->get().keep_alive();
-  return codings == 1 && boost::beast::iequals(head()[beast_http::field::transfer_encoding], "chunked");
+  return parser_->chunked() || content_length().has_value() || !parser_->get().keep_alive();
+}
+
+bool ResponseReader::BytesBehindAreUnsound(boost::beast::string_view unread) const {
+  std::string bytes(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  bytes.append(unread.data(), unread.size());
+  return AreBytesBehindResponseUnsound(bytes);
 }
 
 HttpResponse ResponseReader::Release() {
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -55,6 +55,9 @@
   bool started() const { return started_; }
   // Whether bytes have arrived that belong to no response.
   bool has_unparsed_bytes() const { return buffer_.size() > 0; }
+  // Whether the bytes behind the complete response show that its length was wrong. `unread` are those that
+  // are not read yet.
+  bool BytesBehindAreUnsound(boost::beast::string_view unread) const;
 
   const beast_http::response_header<>& head() const { return parser_->get(); }
   bool head_complete() const { return parser_->is_header_done(); }
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -1,6 +1,7 @@
 #include "http/upstream_exchange.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/error.hpp>
 #include <cerrno>
 #include <chrono>
@@ -37,6 +38,8 @@
 // A response that is still buffered this long before its client's deadline is streamed or given up, so that
 // the client gets its head in time.
 constexpr runtime::Duration kForwardMargin = milliseconds(50);
+// How much of what follows a response is looked at: more than the beginning of a status line.
+constexpr std::size_t kPeekSize = 16;
 // How much is read at once before the head is complete; most responses are shorter.
 constexpr std::size_t kHeadReadSize = std::size_t{4} * 1024;
 // After this many reads the other connections of the event loop get their turn.
@@ -237,7 +240,7 @@
     case ResponseReader::Step::kBodyFull:
       return OnBodyFull();
     case ResponseReader::Step::kComplete:
-      if (ForwardBody()) FinishWithResponse();
+      OnComplete();
       return false;
     case ResponseReader::Step::kInvalid:
       EndUnsound(reader_->defect());
@@ -252,6 +255,22 @@
   OnStep(reader_->AdvanceAtEnd());
 }
 
+// The last piece of a streamed body is passed on only if the response is sound.
+void UpstreamExchange::OnComplete() {
+  const bool served = reader_->head().result() == beast_http::status::ok;
+  if (served && BytesBehindAreUnsound()) return EndUnsound(MessageDefect::kBytesBehind);
+  if (ForwardBody()) FinishWithResponse();
+}
+
+// Looks at what was read and at the kernel's buffer.
+bool UpstreamExchange::BytesBehindAreUnsound() {
+  std::array<char, kPeekSize> bytes;
+  error_code ignored;
+  const std::size_t size = runtime::Peek(connection_->socket(), boost::asio::buffer(bytes), ignored);
+  bytes_behind_ = size > 0 || reader_->has_unparsed_bytes();
+  return bytes_behind_ && reader_->BytesBehindAreUnsound({bytes.data(), size});
+}
+
 bool UpstreamExchange::OnHead() {
   const unsigned status = reader_->head().result_int();
   if (status / 100 == 1) {
@@ -273,9 +292,7 @@
 
 // Returns false if the response must not be used, and ends the exchange then.
 bool UpstreamExchange::AcceptHead(unsigned status) {
-  if (HasTooManyFields(reader_->head())) {
-    EndUnsound(MessageDefect::kTooManyFields);
-  } else if (status == 200 && !written_) {
+  if (status == 200 && !written_) {
     End(Cause::kBroken, ExchangeFailure::kEarlyAnswer);
   } else if (status == 200 && !reader_->has_defined_end()) {
     EndUnsound(MessageDefect::kUndefinedEnd);
@@ -404,8 +421,8 @@
   if (HasTooManyFields(reader_->head())) return EndUnsound(MessageDefect::kTooManyFields);
   // If the response came before the request was fully written, the connection is in the middle of a message
   // and cannot be reused.
-  const bool reusable =
-      reader_->keep_alive() && reader_->complete() && written_ && !reader_->has_unparsed_bytes();
+  const bool reusable = reader_->keep_alive() && reader_->complete() && written_ &&
+                        !reader_->has_unparsed_bytes() && !bytes_behind_;
   HttpResponse response = reader_->Release();
   dispatch::ExchangeResult result{OutcomeOf(response), runtime::Now() - started_at_,
                                   ParseLoadReport(response["X-Server-Load"]), nullptr, answer_time_};
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -115,6 +115,8 @@
   bool PrepareStreamCapacity();
   void OnUpstreamClosed();
   bool AcceptHead(unsigned status);
+  void OnComplete();
+  bool BytesBehindAreUnsound();
   std::size_t HeadMemoryBeyondAllowance() const;
   bool GrowBodyBuffer(std::size_t size);
   void BeginBuffering();
@@ -163,6 +165,7 @@
   bool abandoned_ = false;         // the request has its final answer and must not be written any more
   bool streaming_ = false;         // the response is, or was, streamed
   bool awaiting_bytes_ = false;    // a wait for readability is pending
+  bool bytes_behind_ = false;      // bytes follow the response
   bool processing_ = false;        // guards Process() against re-entry
   // Set while a 200 is buffered: when its head arrived, and from when on it is streamed if it is long by
   // then.
