Uploads that upstreams cut off are tried once more and blame no upstream

Cause: a connection that its upstream ends before the last byte is written counts as connect_failed: a failure of the upstream, evidence that connecting is hard, and proof that nothing ran, so that the next attempt is free. While a body is arriving it may as well be the body's fault.

Change: the transport says of an attempt that an established connection ended, or that the upstream answered 4xx, while the body was still arriving. The module records that as if it had ended the attempt itself, and makes at most two such attempts: one more than the first, because an idle connection may have been closed just then. Connections that can't be established count as ever.

--- a/src/balancer/events.h
+++ b/src/balancer/events.h
@@ -96,6 +96,10 @@
   LoadReport load;
   // From the send to the first byte of a successful answer, if one began; `elapsed` includes its body.
   std::optional<Duration> answer_time{};
+  // The upstream ended an established connection, or answered that the request is at fault, while the
+  // request's body was still being received. It may have been unable to read it, so the outcome says nothing
+  // about the upstream.
+  bool request_incomplete = false;
 };
 
 // The client closed its connection, so the request no longer needs a final answer.
--- a/src/balancer/fleet.cpp
+++ b/src/balancer/fleet.cpp
@@ -100,7 +100,8 @@
 
 void Fleet::RecordOutcome(const Request& request, const Attempt& attempt, Duration elapsed,
                           const AnswerTiming& answer) {
-  const Outcome outcome = *attempt.outcome;
+  // What says nothing about the upstream is recorded as if the sidecar had ended the attempt.
+  const Outcome outcome = attempt.request_incomplete ? Outcome::kCancelled : *attempt.outcome;
   Upstream& upstream = *attempt.upstream;
   connections_.RecordOutcome(upstream.connection, attempt.connection, outcome, elapsed,
                              latency_.UsualTime(request.class_index), context_.now);
--- a/src/balancer/request.h
+++ b/src/balancer/request.h
@@ -19,6 +19,7 @@
   ConnectionUse connection{};
   bool in_flight = false;            // the upstream has all of the request and has not begun to answer
   bool started = false;              // its answer has begun
+  bool request_incomplete = false;   // see AttemptEnded
   std::optional<Outcome> outcome{};  // absent while the attempt has not ended
 
   // Whether it has not ended and its upstream has answered no attempt at all since this one was sent.
--- a/src/balancer/request_handler.cpp
+++ b/src/balancer/request_handler.cpp
@@ -89,6 +89,7 @@
   Attempt* const attempt = request == nullptr ? nullptr : request->FindAttempt(event.attempt);
   if (attempt == nullptr || attempt->outcome) return;
   attempt->outcome = event.outcome;
+  attempt->request_incomplete = event.request_incomplete;
   ++context_.counts.ended[static_cast<std::size_t>(event.outcome)];
   RecordReleased(*attempt);
   const AnswerTiming answer = TimingOf(event);
--- a/src/balancer/retry_policy.cpp
+++ b/src/balancer/retry_policy.cpp
@@ -1,10 +1,17 @@
 #include "balancer/retry_policy.h"
 
+#include <algorithm>
+#include <functional>
+
 #include "balancer/arithmetic.h"
 
 namespace mothrack::balancer {
 
 bool RetryPolicy::MaySendAgain(const Request& request, const UpstreamInfo& upstream, TimePoint now) const {
+  if (std::count_if(request.attempts.begin(), request.attempts.end(),
+                    std::mem_fn(&Attempt::request_incomplete)) >= kMaxIncompleteAttempts) {
+    return false;
+  }
   for (const Attempt& attempt : request.attempts) {
     if (attempt.outcome && ProvesNotRun(*attempt.outcome)) continue;
     if (!attempt.outcome && !limits_.hedging) return false;
--- a/src/balancer/retry_policy.h
+++ b/src/balancer/retry_policy.h
@@ -25,6 +25,10 @@
 // Retry-After is spread randomly over one to two times this, bounded by Limits::max_retry_after.
 inline constexpr Duration kRetryAfter = std::chrono::milliseconds(1500);
 
+// How many attempts upstreams may cut off while the request's body is being received. One is tried again,
+// because an idle connection may have been closed just then; after two the body is probably at fault.
+inline constexpr int kMaxIncompleteAttempts = 2;
+
 // Token bucket filled by requests and spent by retries and hedges, so that these can't amplify an overload.
 class RetryBudget {
  public:
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -211,8 +211,8 @@
   {
     // The module gets this event before those that the front end causes in turn, such as the next request.
     const ScopedFlag delivering(delivering_);
-    events_.emplace_back(
-        AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load, result.answer_time});
+    events_.emplace_back(AttemptEnded{id, attempt, result.outcome, result.elapsed, finished, result.load,
+                                      result.answer_time, result.request_incomplete});
     if (!served) {
       pending.last_reply = std::move(result.reply);
     } else if (Finish(pending, RequestEvent::kFinalGiven, RequestCounters::Outcome::kServed)) {
--- a/src/dispatch/exchange.h
+++ b/src/dispatch/exchange.h
@@ -78,6 +78,8 @@
   std::optional<runtime::Duration> answer_time{};
   // What went wrong, for the log: a literal; empty if nothing did, or if the outcome says it all.
   std::string_view cause{};
+  // See balancer::AttemptEnded.
+  bool request_incomplete = false;
 };
 
 // The time limits of an attempt, counted from now, or from the last byte of a message that is still arriving.
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -76,6 +76,11 @@
   return Outcome::kError;
 }
 
+// Whether the upstream says that the request is at fault.
+bool IsClientError(const beast_http::response_header<>& header) {
+  return beast_http::to_status_class(header.result()) == beast_http::status_class::client_error;
+}
+
 Outcome OutcomeOf(UpstreamExchange::Cause cause, bool written) {
   switch (cause) {
     case UpstreamExchange::Cause::kBroken:
@@ -427,6 +432,7 @@
   dispatch::ExchangeResult result{OutcomeOf(response), runtime::Now() - started_at_,
                                   ParseLoadReport(response["X-Server-Load"]), nullptr, answer_time_};
   if (result.outcome != Outcome::kServed) result.cause = LogNameOf(ExchangeFailure::kStatus);
+  result.request_incomplete = request_arriving_ && IsClientError(response);
   if (result.outcome == Outcome::kServed && !streaming_) {
     result.reply = std::make_unique<HttpReply>(std::move(response));
   }
@@ -479,7 +485,8 @@
   const Outcome outcome = OutcomeOf(cause, written_);
   const auto self = shared_from_this();
   const auto on_end = MarkEnded();
-  on_end({outcome, runtime::Now() - started_at_, {}, nullptr, answer_time_, log_cause_});
+  const bool request_incomplete = cause == Cause::kBroken && request_arriving_ && connection_->connected();
+  on_end({outcome, runtime::Now() - started_at_, {}, nullptr, answer_time_, log_cause_, request_incomplete});
   if (stream) stream->End(runtime::Stream::State::kTruncated);
 }
 
--- a/tests/balancer/attempts_test.cpp
+++ b/tests/balancer/attempts_test.cpp
@@ -37,6 +37,34 @@
   EXPECT_EQ(sidecar.failed.size(), 1U);  // unsafe, and it may have run
 }
 
+// Guards against this failure: bodies that upstreams could not read were sent to one upstream after the other
+// and ejected each, so that requests of others were refused.
+TEST(ArrivingRequest, IsTriedOnceMoreWhenUpstreamsCutItOffAndBlamesNone) {
+  TestSidecar sidecar;
+  sidecar.ListUpstreams(4);
+  const auto spread_before = sidecar.CountServed(60);
+  for (std::uint64_t i = 0; i < 50; ++i) {
+    const std::size_t before = sidecar.sent.size();
+    RequestArrived arrival;
+    arrival.request = RequestId{1000000 + i};
+    arrival.request_class = kUnsafe;
+    arrival.deadline = sidecar.now + 2s;
+    arrival.arriving = true;
+    sidecar.Handle(arrival);
+    for (std::size_t k = before; k < sidecar.sent.size(); ++k) {
+      const SentAttempt attempt = sidecar.sent[k];
+      AttemptEnded end{attempt.request, attempt.attempt, Outcome::kConnectFailed, 1ms};
+      end.request_incomplete = true;
+      sidecar.Handle(end);
+    }
+    EXPECT_EQ(sidecar.sent.size(), before + 2);
+    EXPECT_EQ(sidecar.rejected.size(), i + 1);
+    sidecar.Advance(10ms);
+  }
+  EXPECT_EQ(sidecar.balancer().counts().ejected, 0U);
+  EXPECT_EQ(sidecar.CountServed(60).size(), spread_before.size());
+}
+
 TEST(ArrivingRequest, IsRetriedElsewhereWhenNothingRan) {
   TestSidecar sidecar;
   sidecar.ListUpstreams(2);
--- a/tests/balancer/helpers.h
+++ b/tests/balancer/helpers.h
@@ -68,6 +68,8 @@
   explicit TestSidecar(Settings settings = DefaultSettings(), std::uint64_t seed = 7)
       : balancer_(std::move(settings), seed) {}
 
+  const Balancer& balancer() const { return balancer_; }
+
   // Passes a list of `count` upstreams: "a", "b", ...
   void ListUpstreams(int count) {
     MembershipUpdate update;
