--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -81,6 +81,8 @@
 // Notifies the observer first: it ends the attempts, so that none of them still reads from `upload_` when the
 // stream ends.
 void ClientConnection::EndRequest() {
+  // Whoever is notified may make the stream call Progress(), which must not see a request that is served.
+  if (phase_ == Phase::kServing) phase_ = Phase::kWriting;
   if (const auto on_disconnect = std::exchange(observer_, {}).on_disconnect) on_disconnect();
   if (const auto upload = std::exchange(upload_, nullptr)) upload->End(runtime::Stream::State::kTruncated);
 }
@@ -290,7 +292,9 @@
   parsing_ = true;
   Parse();
   parsing_ = false;
-  if (phase_ == Phase::kServing && !upload_ && reader_.BytesBehindAreUnsound()) RejectBytesBehind();
+  if (phase_ == Phase::kServing && reader_.complete() && !upload_ && reader_.BytesBehindAreUnsound()) {
+    RejectBytesBehind();
+  }
   // A client that waits for responses does not pipeline this much. Reading and discarding continues, because
   // it reveals whether the client has disconnected.
   if (phase_ != Phase::kReading && !upload_ && reader_.buffer().size() == kMaxReadAhead) {
@@ -487,7 +491,7 @@
 // Whether what has arrived behind the complete request shows that its length was wrong. Looks at the kernel's
 // buffer as well.
 bool ClientConnection::BytesBehindAreUnsound() {
-  if (pipeline_overflowed_) return false;
+  if (!reader_.complete() || pipeline_overflowed_) return false;
   std::array<char, kPeekSize> bytes;
   error_code ignored;
   const std::size_t size = runtime::Peek(socket_, boost::asio::buffer(bytes), ignored);
--- a/tests/balancer/attempts_test.cpp
+++ b/tests/balancer/attempts_test.cpp
@@ -53,7 +53,11 @@
     sidecar.Handle(arrival);
     for (std::size_t k = before; k < sidecar.sent.size(); ++k) {
       const SentAttempt attempt = sidecar.sent[k];
-      AttemptEnded end{attempt.request, attempt.attempt, Outcome::kConnectFailed, 1ms};
+      AttemptEnded end;
+      end.request = attempt.request;
+      end.attempt = attempt.attempt;
+      end.outcome = Outcome::kConnectFailed;
+      end.elapsed = 1ms;
       end.request_incomplete = true;
       sidecar.Handle(end);
     }
