--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -54,7 +54,8 @@
   // Whether any byte has arrived since the reader was made.
   bool started() const { return started_; }
   // Whether bytes have arrived that belong to no response.
-  bool has_unparsed_bytes() const { return buffer_.size() > 0; }
+  bool has_unparsed_bytes() const { return unparsed_bytes() > 0; }
+  std::size_t unparsed_bytes() const { return buffer_.size(); }
   // Whether the bytes behind the complete response show that its length was wrong. `unread` are those that
   // are not read yet.
   bool BytesBehindAreUnsound(boost::beast::string_view unread) const;
--- a/tests/soak/upstream.cpp
+++ b/tests/soak/upstream.cpp
@@ -176,6 +176,21 @@
       return connection.Send("HTTP/1.1 503 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", Never());
     case Plan::Answer::kError:
       return connection.Send("HTTP/1.1 500 x\r\nContent-Length: 5\r\n\r\nerror", Never());
+    case Plan::Answer::kCopyBehind:
+      return SendUnframed(connection, request, head + body + head + body);
+    case Plan::Answer::kShortLength:
+      return SendUnframed(
+          connection, request,
+          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size() / 2) + "\r\n\r\n" + body);
+    case Plan::Answer::kNoiseBehind:
+      return SendUnframed(connection, request, head + body + "\x01 noise");
+    case Plan::Answer::kTwoLengths:
+      return SendUnframed(connection, request,
+                          head.substr(0, head.size() - 2) + head.substr(head.find("Content-Length")) + body);
+    case Plan::Answer::kCodingInHttp10:
+      SendUnframed(connection, request,
+                   "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(body) + "0\r\n\r\n");
+      return false;
     case Plan::Answer::kWhole:
     case Plan::Answer::kReadsNothing:
     case Plan::Answer::kReadsSlowly:
@@ -184,6 +199,13 @@
   return false;
 }
 
+// Writes an answer at once, after the plan's delay.
+bool Upstream::SendUnframed(Connection& connection, const Request& request, const std::string& answer) {
+  std::this_thread::sleep_for(request.plan.delay);
+  books_.OnAnswering(request.id);
+  return connection.Send(answer, Never());
+}
+
 bool Upstream::WriteSound(Connection& connection, const Request& request) {
   const std::string body = BodyOf(request.id, request.plan.size);
   std::string head = "HTTP/1.1 200 OK\r\n";
@@ -196,6 +218,7 @@
   }
   if (!connection.Send(head, Never())) return false;
   std::this_thread::sleep_for(request.plan.delay);
+  books_.OnAnswering(request.id);
   if (!WriteBody(connection, request, body, body.size())) return false;
   if (request.plan.framing == Plan::Framing::kChunked) return connection.Send("0\r\n\r\n", Never());
   return request.plan.framing == Plan::Framing::kLength;
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -51,6 +51,7 @@
   bool ServeOne(Connection& connection, std::string& buffer);
   bool Answer(Connection& connection, const Request& request);
   bool ReadBody(Connection& connection, const Request& request, std::string& buffer);
+  bool SendUnframed(Connection& connection, const Request& request, const std::string& answer);
   bool WriteSound(Connection& connection, const Request& request);
   bool WriteBody(Connection& connection, const Request& request, const std::string& body, std::size_t end);
 
