Eviction: a connection whose client has gone is closed also if bytes of it are unread

What callers saw: under the sanitizers beside builds one idle connection of an ordinary client was closed for half heads whose clients had gone (ClientFlood.HalfHeadsOnNewConnections, one request sent again).

Cause: connections with unread bytes were left out of the look for clients that have gone, so the eviction policy ranked them after idle ones. Their request is not served anyway: Serve() closes the connection of a client that has gone.

--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -77,7 +77,7 @@
 }
 
 // Closes the connections whose clients have closed them already, which the event loop may not have reported
-// yet. Returns whether there was one.
+// yet. What they have sent and is not read needs no answer any more. Returns whether there was one.
 bool Listener::CloseAbandoned() {
   std::vector<std::shared_ptr<ClientConnection>> connections;
   std::vector<pollfd> polled;
@@ -89,7 +89,7 @@
   if (!runtime::PollNow(polled)) return false;
   bool closed = false;
   for (std::size_t i = 0; i < polled.size(); ++i) {
-    if (polled[i].revents == 0 || connections[i]->HasUnreadBytes()) continue;
+    if (polled[i].revents == 0) continue;
     connections[i]->Close(CloseReason::kClientLeft);
     closed = true;
   }
