Load shedding begins only once a fifth of the latest answers are late

What callers saw: single requests refused with "refusing: overload, answers come late" while upstreams were idle.

Cause: each late outcome raised the rejected share at once, however few outcomes were late. Two answers of 0.9 s (objective 1 s) among 1,000 of 2 ms set it to 0.05, and one of the next requests drew it.

Change: while nothing is rejected, a late outcome counts only in the share of late ones; shedding begins once that exceeds kTooManyLate, the bound that load_shedder.h states. From then on each late outcome counts as before, so the point at which the share settles stays. At an onset of overload this costs two outcomes.

The new unit test fails without the change. The row test of lateness records three outcomes, since one no longer suffices; rows that must not raise the share must not with three either.

--- a/src/balancer/load_shedder.cpp
+++ b/src/balancer/load_shedder.cpp
@@ -45,6 +45,9 @@
   // rejecting more would not help.
   if (late && mean_in_flight_ < usual_in_flight_ * weights_.usable) return;
   late_share_ += ((late ? 1 : 0) - late_share_) / kLateMemory;
+  // A few late ones among many in time are slow requests, not overload. Once requests are rejected, each late
+  // one counts.
+  if (late && shed_ <= 0 && late_share_ <= kTooManyLate) return;
   const double fall_factor = 1 + kShedFallFactor * std::max(0.0, 1 - late_share_ / kTooManyLate);
   shed_ += late ? step : -step * fall_factor * kTooManyLate / (1 - kTooManyLate);
   shed_ = std::clamp(shed_, 0.0, kMaxShed);
--- a/tests/balancer/load_shedder_test.cpp
+++ b/tests/balancer/load_shedder_test.cpp
@@ -9,6 +9,8 @@
 using std::chrono::milliseconds;
 
 constexpr FleetWeights kFleet{10, 10, 10, 10};
+// How many late answers in a row exceed kTooManyLate.
+constexpr int kLateUntilOverload = 3;
 
 TEST(LoadShedder, OnlyLateOutcomesOfHealthyUpstreamsRaiseTheRejectedShare) {
   struct Case {
@@ -24,13 +26,32 @@
     const std::vector<RequestClass> classes(1);
     LoadShedder shedder(classes);
     shedder.RecordTick(kFleet);
-    shedder.RecordOutcome({test.outcome, milliseconds(test.elapsed_ms), milliseconds(400), test.loaded,
-                           test.healthy_past_slow_start},
-                          1);
+    for (int i = 0; i < kLateUntilOverload; ++i) {
+      shedder.RecordOutcome({test.outcome, milliseconds(test.elapsed_ms), milliseconds(400), test.loaded,
+                             test.healthy_past_slow_start},
+                            1);
+    }
     EXPECT_EQ(shedder.shed() > 0, test.raises) << static_cast<int>(test.outcome) << ' ' << test.elapsed_ms;
   }
 }
 
+// Guards against this failure: two slow answers among a thousand in time began to reject requests.
+TEST(LoadShedder, FewLateAnswersAmongManyInTimeRejectNothing) {
+  const std::vector<RequestClass> classes(1);
+  const auto answer = [](int elapsed_ms) {
+    return LatenessInput{Outcome::kServed, milliseconds(elapsed_ms), milliseconds(400), false, true};
+  };
+  LoadShedder shedder(classes);
+  shedder.RecordTick(kFleet);
+  for (int i = 0; i < 1000; ++i) shedder.RecordOutcome(answer(2), 100);
+  for (int i = 0; i + 1 < kLateUntilOverload; ++i) {
+    shedder.RecordOutcome(answer(350), 100);
+    EXPECT_FALSE(shedder.RejectsAny()) << i;
+  }
+  shedder.RecordOutcome(answer(350), 100);
+  EXPECT_TRUE(shedder.RejectsAny());
+}
+
 TEST(LoadShedder, TheLossOfHalfOfTheUpstreamsRaisesTheRejectedShareAtOnce) {
   const std::vector<RequestClass> classes(1);
   LoadShedder shedder(classes);
