DNS: a truncated answer at a leaving resolver costs no retry budget

What callers saw: a truncated answer over UDP, though another resolver would have answered whole, in 1 of 1,024 runs of Drain.NoAttemptStartsAtALeavingResolverAfterTheWindow, 64 at once.

Cause: a truncated answer is moved to TCP at the same resolver. If that is leaving by then, nothing is sent there, but the attempt ended as the resolver's error. Its retry took from the retry budget, and without budget the client got the truncated answer.

Evidence: the log of the failed run has attempt_failed outcome=error of the leaving resolver, then request_not_served last=error attempts=1.

Change: such an attempt ends as not sent. The query is one that may be repeated (only these move to TCP), so its retry is free, and nothing counts against the resolver. The truncated answer is still kept for the case that no other resolver is left.

Measured: the new test, 40 queries at once at a resolver that leaves, fails before (17 truncated answers), passes 3 of 3 after. The test above, 64 at once: 0 of 1,024 failed. All 42 DNS tests pass.

--- a/src/dns/transport.cpp
+++ b/src/dns/transport.cpp
@@ -156,9 +156,10 @@
 
 void Transport::EndWithoutResponse(Attempt& attempt, Outcome outcome) {
   if (!attempt.truncated) return End(attempt, outcome, nullptr);
-  // The resolver has received the query, whatever happened over TCP, and a truncated response is better than
-  // none.
-  End(attempt, outcome == Outcome::kTimeout ? outcome : Outcome::kError, std::move(attempt.truncated));
+  // A truncated response is better than none. The resolver has received the query over UDP, so a failure over
+  // TCP is its error, unless nothing was sent there, for example because it is leaving.
+  const bool is_error = outcome != Outcome::kTimeout && outcome != Outcome::kNotSent;
+  End(attempt, is_error ? Outcome::kError : outcome, std::move(attempt.truncated));
 }
 
 void Transport::Detach(Attempt& attempt) {
--- a/tests/dns/dns_truncation_test.cpp
+++ b/tests/dns/dns_truncation_test.cpp
@@ -100,6 +100,34 @@
   EXPECT_GE(refusing.udp_queries(), 1);
 }
 
+// Guards against this failure: queries whose truncated answers came while their resolver was leaving counted
+// as its errors, and their retries took more from the retry budget than it had.
+TEST(Truncation, AtALeavingResolverIsRetriedElsewhere) {
+  constexpr std::uint16_t kQueries = 40;
+  StandinResolver leaving([](Responder& responder) {
+    AnswerSpec spec;
+    spec.truncated = true;
+    responder.SendAfter(milliseconds(500), MakeAnswer(responder.query(), spec));
+  });
+  StandinResolver staying(StandinResolver::Echo());
+  Node node(
+      DnsOnlyOptions(OperatorFile(ResolverList().Add("l", leaving.address()).Add("s", staying.address()))));
+  ASSERT_TRUE(node.DnsListening());
+  DnsUdpClient client(node.dns_port());
+  for (std::uint16_t id = 0; id < kQueries; ++id) client.Send(MakeQuery(QueryFor("a.org", id)));
+  ASSERT_TRUE(Eventually([&] { return leaving.queries() + staying.queries() >= kQueries; }));
+  EXPECT_GE(leaving.queries(), 10);
+  node.ReloadOperatorFile(
+      OperatorFile(ResolverList().Add("l", leaving.address(), "leaving").Add("s", staying.address())));
+  for (std::uint16_t id = 0; id < kQueries; ++id) {
+    const auto answer = client.Receive();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(RcodeOf(*answer), 0);
+    EXPECT_FALSE(IsTruncated(*answer));
+  }
+  EXPECT_EQ(leaving.tcp_queries(), 0);
+}
+
 // If TCP fails at the only resolver, the client gets the truncated answer.
 TEST(Truncation, WithoutTcpTheTruncatedAnswerIsForwarded) {
   enum class Way { kRefused, kUnresponsive, kCut, kTruncatedAgain };
