Logs of requests and of clients share one limiter of their events

Reason: ClientLog::EventLimiter and two pairs of a rate limiter and a count in RequestLog were the same thing. Change: runtime::EventLimiter has it once, with the burst and the rate; no behaviour changes.

--- a/src/dispatch/request_log.cpp
+++ b/src/dispatch/request_log.cpp
@@ -1,7 +1,6 @@
 #include "dispatch/request_log.h"
 
 #include <string_view>
-#include <utility>
 
 namespace mothrack::dispatch {
 namespace {
@@ -33,10 +32,7 @@
 }  // namespace
 
 void RequestLog::NotServed(const Entry& entry, runtime::TimePoint now) {
-  if (!limiter_.Take(now)) {
-    ++left_out_;
-    return;
-  }
+  if (!not_served_.Take(now)) return;
   log_.Info("request_not_served", {{"id", entry.id},
                                    {"class", entry.request_class},
                                    {"answer", entry.rejected ? "refused" : "failed"},
@@ -44,21 +40,18 @@
                                    {"body", entry.arriving ? "arriving" : "complete"},
                                    {"attempts", entry.attempts},
                                    {"last", NameOf(entry.last_outcome)},
-                                   {"left_out", std::exchange(left_out_, 0)}});
+                                   {"left_out", not_served_.TakeLeftOut()}});
 }
 
 void RequestLog::AttemptFailed(const FailedAttempt& attempt, runtime::TimePoint now) {
-  if (!attempt_limiter_.Take(now)) {
-    ++attempts_left_out_;
-    return;
-  }
+  if (!attempts_.Take(now)) return;
   log_.Info("attempt_failed", {{"id", attempt.id},
                                {"upstream", attempt.upstream},
                                {"attempt", attempt.number},
                                {"outcome", NameOf(attempt.outcome)},
                                {"cause", attempt.cause.empty() ? "none" : attempt.cause},
                                {"body", attempt.arriving ? "arriving" : "complete"},
-                               {"left_out", std::exchange(attempts_left_out_, 0)}});
+                               {"left_out", attempts_.TakeLeftOut()}});
 }
 
 }  // namespace mothrack::dispatch
--- a/src/dispatch/request_log.h
+++ b/src/dispatch/request_log.h
@@ -3,29 +3,22 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "balancer/balancer.h"
 #include "runtime/clock.h"
+#include "runtime/event_limiter.h"
 #include "runtime/log.h"
-#include "runtime/rate_limiter.h"
 
 namespace mothrack::dispatch {
 
 // Used on the thread of its dispatcher. The time must not decrease. Nothing throws.
 class RequestLog {
  public:
-  // After kBurst lines of an event at once only kPerSecond lines a second are written; each says how many
-  // were left out before.
-  static constexpr double kBurst = 20;
-  static constexpr double kPerSecond = 2;
-
   // `log` must outlive this object.
-  RequestLog(runtime::Logger& log, runtime::TimePoint now)
-      : log_(log), limiter_(kPerSecond, kBurst, now), attempt_limiter_(kPerSecond, kBurst, now) {}
+  RequestLog(runtime::Logger& log, runtime::TimePoint now) : log_(log), not_served_(now), attempts_(now) {}
 
   // A request that was rejected or has failed.
   struct Entry {
@@ -52,10 +45,8 @@
 
  private:
   runtime::Logger& log_;
-  runtime::RateLimiter limiter_;
-  std::uint64_t left_out_ = 0;
-  runtime::RateLimiter attempt_limiter_;
-  std::uint64_t attempts_left_out_ = 0;
+  runtime::EventLimiter not_served_;
+  runtime::EventLimiter attempts_;
 };
 
 }  // namespace mothrack::dispatch
--- a/src/http/client_log.cpp
+++ b/src/http/client_log.cpp
@@ -1,7 +1,5 @@
 #include "http/client_log.h"
 
-#include <utility>
-
 namespace mothrack::http {
 
 std::string_view LogNameOf(Rejection rejection) {
@@ -58,14 +56,6 @@
   return "unknown";
 }
 
-bool ClientLog::EventLimiter::Take(runtime::TimePoint now) {
-  if (limiter_.Take(now)) return true;
-  ++left_out_;
-  return false;
-}
-
-std::uint64_t ClientLog::EventLimiter::TakeLeftOut() { return std::exchange(left_out_, 0); }
-
 ClientLog::ClientLog(runtime::Logger& log, runtime::TimePoint now)
     : log_(log), rejected_(now), closed_(now) {}
 
--- a/src/http/client_log.h
+++ b/src/http/client_log.h
@@ -12,8 +12,8 @@
 #include <string_view>
 
 #include "runtime/clock.h"
+#include "runtime/event_limiter.h"
 #include "runtime/log.h"
-#include "runtime/rate_limiter.h"
 
 namespace mothrack::http {
 
@@ -55,11 +55,6 @@
 
 class ClientLog {
  public:
-  // After kBurst lines of an event at once only kPerSecond a second are written; each says how many were left
-  // out before.
-  static constexpr double kBurst = 20;
-  static constexpr double kPerSecond = 2;
-
   // `log` must outlive this object.
   ClientLog(runtime::Logger& log, runtime::TimePoint now);
 
@@ -77,22 +72,9 @@
   const Counts& counts() const { return counts_; }
 
  private:
-  // Limits the lines of one event and counts those that are left out.
-  class EventLimiter {
-   public:
-    explicit EventLimiter(runtime::TimePoint now) : limiter_(kPerSecond, kBurst, now) {}
-    bool Take(runtime::TimePoint now);
-    // The number of lines left out since the last call.
-    std::uint64_t TakeLeftOut();
-
-   private:
-    runtime::RateLimiter limiter_;
-    std::uint64_t left_out_ = 0;
-  };
-
   runtime::Logger& log_;
-  EventLimiter rejected_;
-  EventLimiter closed_;
+  runtime::EventLimiter rejected_;
+  runtime::EventLimiter closed_;
   Counts counts_;
 };
 
