--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -17,6 +17,7 @@
 
 #include "soak/books.h"
 #include "soak/clients.h"
+#include "soak/processor_time.h"
 #include "soak/upstream.h"
 #include "standins/peers.h"
 
@@ -78,6 +79,7 @@
       return false;
     }
     const StallMeter stalls(books_);
+    const ProcessorTime processor_time(node.pid());
     Clients clients(books_, node.port(), seed_);
     clients.Start(kUsualClients, kLeavingClients);
     if (crowded_) clients.StartCrowd(kCrowd);
@@ -91,7 +93,7 @@
     if (!IsAlive(node)) books_.AddViolation(Rule::kProcess, "ended by itself: " + node.log());
     End(node);
     clients.Stop();
-    return Report(resident, node);
+    return Report(resident, processor_time.WorstSecond(), node);
   }
 
  private:
@@ -159,7 +161,7 @@
     }
   }
 
-  bool Report(std::size_t resident, const Node& node) {
+  bool Report(std::size_t resident, const std::string& worst_second, const Node& node) {
 #ifndef __SANITIZE_ADDRESS__
     if (resident > static_cast<std::size_t>(memory_mb_) * 1024) {
       books_.AddViolation(Rule::kProcess,
@@ -177,6 +179,7 @@
     for (const Violation& violation : violations) {
       std::printf("  %s: %s\n", NameOf(violation.rule), violation.trace.c_str());
     }
+    if (!violations.empty()) std::printf("  the sidecar %s\n", worst_second.c_str());
     if (!violations.empty() && std::getenv("SOAK_LOG") != nullptr) std::printf("%s\n", node.log().c_str());
     std::fflush(stdout);
     return violations.empty();
