Split client_connection.cpp and upstream_exchange.cpp

Change: ReadMemory has the memory that a connection claims for reading; client_connection_upload.cpp the upload part of the class; ResponseDeadlines is a value without clock that decides when a buffered response is streamed or given up, with a table of tests; exchange_outcome.h has what the end of an exchange proves.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -10,7 +10,6 @@
 #include <string_view>
 #include <utility>
 
-#include "http/exchange_memory.h"
 #include "http/head_memory.h"
 #include "http/message_rules.h"
 #include "http/plain_response.h"
@@ -23,11 +22,8 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t kReadSize = 8192;
 // How much of what follows a request is looked at before its answer begins.
 constexpr std::size_t kPeekSize = 64;
-// How much of a request is read although the budget denies it.
-constexpr std::size_t kUnclaimedRead = 1024;
 // How many copies of a response's head there are while it is written: the fields, and for a streamed body
 // their text.
 constexpr std::size_t kResponseHeadCopies = 2;
@@ -52,7 +48,7 @@
                                    const runtime::MemoryBudget& budget, tcp::socket socket)
     : owner_(&owner),
       budget_(budget),
-      read_memory_(budget),
+      read_memory_(budget_),
       response_memory_(budget),
       slot_(std::in_place, descriptors, runtime::Descriptors::Side::kClient),
       socket_(std::move(socket)),
@@ -185,7 +181,8 @@
 // be idle.
 void ClientConnection::Read() {
   if (reading_ || closed_) return;
-  ReleaseReadBuffer();
+  reader_.FreeEmptyBuffer();
+  read_memory_.Release(reader_, ReadUse());
   // Whether the upstream consumes the body more slowly than it arrives.
   const bool stalled = upload_ && upload_->Capacity() == 0;
   if (stalled) {
@@ -219,11 +216,8 @@
 
 void ClientConnection::Receive() {
   auto& buffer = reader_.buffer();
-  std::size_t size = ReadSize();
-  if (!ClaimReadBuffer(size)) {
-    size = UnclaimedReadSize();
-    if (size == 0) return OnReadDenied();
-  }
+  const std::size_t size = ClaimRead();
+  if (size == 0) return OnReadDenied();
   error_code error;
   const std::size_t received = runtime::ReadSome(socket_, buffer.prepare(size), error);
   if (runtime::WouldBlock(error)) return Read();
@@ -235,43 +229,18 @@
   if (received < size && upload_ && buffer.size() == 0) ObserveUpload(runtime::Now());
 }
 
-// A long body is read in larger pieces if memory allows, but not in more than the upload can take.
-std::size_t ClientConnection::ReadSize() {
-  const auto& buffer = reader_.buffer();
-  const std::size_t free = buffer.max_size() - buffer.size();
-  const std::size_t least = std::min(free, kReadSize);
-  if (!upload_) return least;
-  const std::size_t wanted = std::min({free, std::max(kReadSize, upload_->Capacity()), kMaxReadAhead});
-  return wanted > least && read_memory_.Grow(reader_.BufferMemory(wanted)) ? wanted : least;
+// Returns how many bytes can be read now; 0 if there is no memory for any.
+std::size_t ClientConnection::ClaimRead() {
+  const auto upload_capacity = upload_ ? std::optional(upload_->Capacity()) : std::nullopt;
+  const std::size_t size = read_memory_.ReadSize(reader_, upload_capacity);
+  if (read_memory_.Claim(reader_, size, ReadUse())) return size;
+  return phase_ == Phase::kReading ? read_memory_.ClaimBeginning(reader_) : 0;
 }
 
-// Returns false if there is no memory for reading `size` more bytes.
-bool ClientConnection::ClaimReadBuffer(std::size_t size) {
-  const std::size_t memory = std::max(read_memory_.bytes(), reader_.BufferMemory(size));
-  const bool reads_request = phase_ == Phase::kReading || upload_;
-  if (reads_request) return read_memory_.Reserve(memory);
+ReadMemory::Use ClientConnection::ReadUse() const {
+  if (phase_ == Phase::kReading || upload_) return ReadMemory::Use::kRequest;
   const bool discards = phase_ == Phase::kLingering || pipeline_overflowed_;
-  // What is discarded is held only until the next line of Receive().
-  if (discards) read_memory_.Set(memory);
-  return discards || read_memory_.Grow(memory);
-}
-
-// The beginning of a request is read even if memory is short, so that health checks are answered and other
-// requests get their rejection.
-std::size_t ClientConnection::UnclaimedReadSize() {
-  const std::size_t buffered = reader_.buffer().size();
-  if (phase_ != Phase::kReading || buffered >= kUnclaimedRead) return 0;
-  read_memory_.Set(std::max(read_memory_.bytes(), reader_.BufferMemory(kUnclaimedRead - buffered)));
-  return kUnclaimedRead - buffered;
-}
-
-// Hundreds of connections may be idle, or wait for the next part of a body. While a body is read, the claim
-// on one small piece is kept, so that it can always go on.
-void ClientConnection::ReleaseReadBuffer() {
-  reader_.FreeEmptyBuffer();
-  const bool reads_request = phase_ == Phase::kReading || upload_;
-  const bool reads_body = reads_request && reader_.in_body() && !reader_.complete();
-  read_memory_.Set(std::max(reader_.buffer().capacity(), reads_body ? kReadSize : 0));
+  return discards ? ReadMemory::Use::kDiscarded : ReadMemory::Use::kReadAhead;
 }
 
 void ClientConnection::OnReadDenied() {
@@ -371,18 +340,12 @@
   return !closed_;
 }
 
-// Reserves all that is needed to serve the request to its end: its head and the smallest window of its body,
-// one attempt, and one piece of the body at a time. Returns false if the budget denies it.
+// Returns false if the budget denies the request's memory.
 bool ClientConnection::ReserveRequest() {
-  const std::size_t body = reader_.has_body() ? runtime::MemoryBudget::kMinWindow : 0;
-  if (body == 0 && IsHealthCheck(reader_.head())) return true;
-  const std::size_t head = HeadMemory(reader_.head());
-  RequestMemory memory{runtime::MemoryBudget::Charge(budget_), runtime::MemoryBudget::Charge(budget_)};
-  if (!memory.message.Reserve(head + body)) return false;
-  if (!memory.exchange.Reserve(ExchangeMemory::Required(head))) return false;
-  if (body > 0 && !read_memory_.Reserve(std::max(read_memory_.bytes(), kReadSize))) return false;
-  request_memory_ = std::move(memory);
-  return true;
+  if (!reader_.has_body() && IsHealthCheck(reader_.head())) return true;
+  auto memory = read_memory_.ReserveRequest(reader_);
+  if (memory) request_memory_ = std::move(*memory);
+  return memory.has_value();
 }
 
 // Lets the reader buffer more of the body. Returns false if it has reached the limit, or if memory is short:
@@ -437,58 +400,6 @@
   if (phase_ == Phase::kServing) observer_ = std::move(observer);
 }
 
-// Called when the body exceeds what may be buffered: passes the request on now and streams the body after it.
-void ClientConnection::BeginUpload() {
-  HttpRequest request;
-  request.base() = reader_.TakeHead();
-  // The stream claims its own memory.
-  request_memory_.message.Set(request_memory_.message.bytes() - reader_.chunk_capacity());
-  upload_ = std::make_shared<runtime::Stream>(budget_, kMaxReplaySize);
-  upload_->on_capacity = [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->Progress();
-  };
-  upload_arrival_.Begin(received_bytes_, runtime::Now());
-  const auto upload = upload_;  // Serve() may reset the member
-  Serve(std::move(request), StreamedBody{upload, reader_.content_length()});
-  if (upload_) ForwardChunk();
-}
-
-// Returns false if nothing more can be parsed for now.
-bool ClientConnection::ContinueUpload(const RequestReader::Step& step) {
-  if (step.result == RequestReader::Step::Result::kInvalid) {
-    EndRequest();
-    RejectUnsound(step.defect, step.text);
-    return false;
-  }
-  // The last piece is passed on only if the request is sound.
-  if (reader_.complete() && BytesBehindAreUnsound()) {
-    RejectBytesBehind();
-    return false;
-  }
-  if (!ForwardChunk()) return false;
-  if (reader_.complete()) {
-    FinishUpload();
-    return true;
-  }
-  return step.consumed > 0;
-}
-
-// Appends the parsed part of the body to the upload stream. Returns false if that ended the upload.
-bool ClientConnection::ForwardChunk() {
-  const auto upload = upload_;
-  upload->AppendAndFree(reader_.chunk());
-  return upload_ == upload;
-}
-
-void ClientConnection::FinishUpload() {
-  const auto upload = std::exchange(upload_, nullptr);
-  upload_arrival_.OnComplete(runtime::Now());
-  if (const auto on_complete = std::exchange(observer_.on_complete, nullptr)) {
-    on_complete(upload_arrival_.last_byte_at());
-  }
-  upload->End(runtime::Stream::State::kComplete);
-}
-
 // Whether what has arrived behind the complete request shows that its length was wrong. Looks at the kernel's
 // buffer as well.
 bool ClientConnection::BytesBehindAreUnsound() {
@@ -515,23 +426,6 @@
   if (unsound) RejectBytesBehind();
 }
 
-void ClientConnection::ObserveUpload(runtime::TimePoint now) {
-  error_code error;
-  const std::size_t in_kernel = socket_.available(error);
-  const std::size_t unread = reader_.buffer().size() + in_kernel;
-  upload_arrival_.Observe({received_bytes_ + in_kernel, unread, reader_.missing_body()}, now);
-  if (upload_->Capacity() == 0) upload_arrival_.OnHeldBack();
-}
-
-void ClientConnection::CheckUpload(runtime::TimePoint now) {
-  if (closed_ || !upload_ || !observer_.on_complete) return;
-  ObserveUpload(now);
-  const runtime::TimePoint last_byte_at = upload_arrival_.last_byte_at();
-  if (now - last_byte_at < observer_.answer_time) return;
-  const auto self = shared_from_this();  // the handler may answer the request at once
-  std::exchange(observer_.on_complete, nullptr)(last_byte_at);
-}
-
 // After a malformed request the message boundaries are unknown, so nothing after it on this connection is
 // parsed as a request.
 void ClientConnection::RejectUnsound(MessageDefect defect, const std::string& text) {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -24,6 +24,7 @@
 #include "http/eviction_policy.h"
 #include "http/lingering_close.h"
 #include "http/messages.h"
+#include "http/read_memory.h"
 #include "http/request_handler.h"
 #include "http/request_reader.h"
 #include "http/response_writer.h"
@@ -131,10 +132,8 @@
   void Read();
   void AwaitClose();
   void Receive();
-  std::size_t ReadSize();
-  bool ClaimReadBuffer(std::size_t size);
-  std::size_t UnclaimedReadSize();
-  void ReleaseReadBuffer();
+  std::size_t ClaimRead();
+  ReadMemory::Use ReadUse() const;
   void OnReadDenied();
   void Progress();
   void DiscardBuffered();
@@ -179,7 +178,7 @@
   Owner* owner_;  // null once the owner is destroyed; the connection is closed then
   const runtime::MemoryBudget budget_;
   // First, so that it outlives the bytes that it stands for.
-  runtime::MemoryBudget::Charge read_memory_;      // of the reader's buffer
+  ReadMemory read_memory_;
   runtime::MemoryBudget::Charge response_memory_;  // of the response that is being written
   RequestMemory request_memory_;  // of the request that is being read; moves along with the request
   std::optional<runtime::Descriptors::Slot> slot_;
--- /dev/null
+++ b/src/http/response_deadlines.cpp
@@ -0,0 +1,47 @@
+#include "http/response_deadlines.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "http/messages.h"
+
+namespace mothrack::http {
+namespace {
+
+// A response of unknown length is buffered like one of known length. Once it is no longer small, it is
+// buffered only for this long: the part of a long response that has arrived must not be withheld from its
+// client for 2 s.
+constexpr runtime::Duration kBufferingTimeout = std::chrono::seconds(1);
+// A response that is still buffered this long before its client's deadline is streamed or given up, so that
+// the client gets its head in time.
+constexpr runtime::Duration kForwardMargin = std::chrono::milliseconds(50);
+
+}  // namespace
+
+void ResponseDeadlines::Begin(const dispatch::AttemptTimeouts& timeouts, runtime::TimePoint now) {
+  started_at_ = now;
+  begin_by_ = now + timeouts.until_begun;
+  const runtime::Duration margin = std::min(kForwardMargin, timeouts.until_deadline / 4);
+  forward_at_ = now + timeouts.until_deadline - margin;
+  give_up_at_ = forward_at_ + margin / 2;
+}
+
+void ResponseDeadlines::BeginBuffering(bool length_known, runtime::TimePoint now) {
+  runtime::TimePoint until = forward_at_;
+  if (!length_known) until = std::min({until, begin_by_, now + kBufferingTimeout});
+  buffering_ = Buffering{now, until};
+}
+
+bool ResponseDeadlines::ShouldStream(std::size_t size, runtime::TimePoint now) const {
+  if (now < buffering_->until || size == 0) return false;
+  if (size >= kMinStreamedSize) return true;
+  const double elapsed_seconds = std::chrono::duration<double>(now - buffering_->head_at).count();
+  return now >= forward_at_ && static_cast<double>(size) >= elapsed_seconds * kMinBodyRate;
+}
+
+std::optional<runtime::TimePoint> ResponseDeadlines::NextCheck(runtime::TimePoint now) const {
+  if (now >= give_up_at_) return std::nullopt;
+  return now < forward_at_ ? forward_at_ : give_up_at_;
+}
+
+}  // namespace mothrack::http
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -40,7 +40,7 @@
     if (exchange->unsent() && exchange->pool() == pool) unsent.push_back(exchange);
   }
   for (const auto& exchange : unsent) {
-    exchange->End(UpstreamExchange::Cause::kNotSent, ExchangeFailure::kUpstreamGone);
+    exchange->End(ExchangeEnd::kNotSent, ExchangeFailure::kUpstreamGone);
   }
 }
 
@@ -85,7 +85,7 @@
   const auto it = open_exchanges_.find(id);
   if (it == open_exchanges_.end()) return;
   const auto exchange = it->second;
-  exchange->End(UpstreamExchange::Cause::kCancelled, ExchangeFailure::kCancelled);
+  exchange->End(ExchangeEnd::kCancelled, ExchangeFailure::kCancelled);
 }
 
 void HttpTransport::Abandon(dispatch::ExchangeId id) {
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/error.hpp>
-#include <cerrno>
 #include <chrono>
 #include <cstdint>
 #include <utility>
@@ -27,17 +26,8 @@
 // this long.
 constexpr runtime::Duration kWriteIdleTimeout = seconds(5);
 constexpr runtime::Duration kResponseIdleTimeout = seconds(15);
-// A response of unknown length is buffered like one of known length. Once it is no longer small, it is
-// buffered only for this long: the part of a long response that has arrived must not be withheld from its
-// client for 2 s.
-constexpr runtime::Duration kBufferingTimeout = seconds(1);
-
 // How many copies of a response's head there are: the parser's, the client's response, and its text.
 constexpr std::size_t kResponseHeadCopies = 3;
-
-// A response that is still buffered this long before its client's deadline is streamed or given up, so that
-// the client gets its head in time.
-constexpr runtime::Duration kForwardMargin = milliseconds(50);
 // How much of what follows a response is looked at: more than the beginning of a status line.
 constexpr std::size_t kPeekSize = 16;
 // How much is read at once before the head is complete; most responses are shorter.
@@ -45,56 +35,6 @@
 // After this many reads the other connections of the event loop get their turn.
 constexpr int kMaxReadsAtOnce = 16;
 
-// Whether connecting failed because this machine lacked a resource (port, memory, route) or was interrupted.
-// Such an error says nothing about the upstream, and nothing was sent. See connect(2), ip(7).
-bool IsLocalFailure(const error_code& error) {
-  if (error.category() != boost::system::system_category()) return false;
-  switch (error.value()) {
-    case EADDRNOTAVAIL:
-    case EADDRINUSE:
-    case EAGAIN:
-    case EINTR:
-    case EMFILE:
-    case ENETDOWN:
-    case ENETUNREACH:
-    case ENFILE:
-    case ENOBUFS:
-    case ENOMEM:
-    case EPERM:
-      return true;
-    default:
-      return false;
-  }
-}
-
-Outcome OutcomeOf(const beast_http::response_header<>& header) {
-  const unsigned status = header.result_int();
-  if (status == 200) return Outcome::kServed;
-  // Only this header proves that the upstream has not processed the request. A 503 without it may be sent
-  // after the work was done.
-  if ((status == 503 || status == 504) && header["X-Not-Processed"] == "1") return Outcome::kFull;
-  return Outcome::kError;
-}
-
-// Whether the upstream says that the request is at fault.
-bool IsClientError(const beast_http::response_header<>& header) {
-  return beast_http::to_status_class(header.result()) == beast_http::status_class::client_error;
-}
-
-Outcome OutcomeOf(UpstreamExchange::Cause cause, bool written) {
-  switch (cause) {
-    case UpstreamExchange::Cause::kBroken:
-      return written ? Outcome::kReset : Outcome::kConnectFailed;
-    case UpstreamExchange::Cause::kTimeout:
-      return written ? Outcome::kTimeout : Outcome::kConnectFailed;
-    case UpstreamExchange::Cause::kCancelled:
-      return Outcome::kCancelled;
-    case UpstreamExchange::Cause::kNotSent:
-      break;
-  }
-  return Outcome::kNotSent;
-}
-
 }  // namespace
 
 UpstreamExchange::UpstreamExchange(Owner& owner, const runtime::MemoryBudget& budget, ExchangeMemory memory,
@@ -112,30 +52,22 @@
       timer_(connection_->timer()) {}
 
 void UpstreamExchange::Start() {
-  SetDeadlines(runtime::Now());
+  deadlines_.Begin(request_.timeouts, runtime::Now());
   // The timeout of a request whose body is still arriving counts from its last byte.
   const StreamedBody& streamed_body = request_.message->streamed_body;
   request_arriving_ = streamed_body && streamed_body.stream->state() == runtime::Stream::State::kArriving;
   connection_->BeginUse();
   if (connection_->connected()) return BeginWriting();
   phase_ = Phase::kConnecting;
-  ArmTimer(std::min(deadline_, started_at_ + request_.connect_timeout));
+  ArmTimer(std::min(deadlines_.begin_by(), deadlines_.started_at() + request_.connect_timeout));
   connection_->Connect([self = shared_from_this()](error_code error) { self->OnConnected(error); });
 }
 
-void UpstreamExchange::SetDeadlines(runtime::TimePoint now) {
-  started_at_ = now;
-  deadline_ = now + request_.timeouts.until_begun;
-  const runtime::Duration margin = std::min(kForwardMargin, request_.timeouts.until_deadline / 4);
-  forward_at_ = now + request_.timeouts.until_deadline - margin;
-  give_up_at_ = forward_at_ + margin / 2;
-}
-
 // ---- Connecting and writing ----
 
 void UpstreamExchange::OnConnected(error_code error) {
-  if (error && IsLocalFailure(error)) return End(Cause::kNotSent, ExchangeFailure::kLocalShortage);
-  if (error) return End(Cause::kBroken, ExchangeFailure::kNotConnected);
+  if (error && IsLocalFailure(error)) return End(ExchangeEnd::kNotSent, ExchangeFailure::kLocalShortage);
+  if (error) return End(ExchangeEnd::kBroken, ExchangeFailure::kNotConnected);
   if (abandoned_) return FinishUnused();
   BeginWriting();
 }
@@ -145,13 +77,14 @@
   if (request_arriving_) {
     DisarmTimer();
   } else {
-    ArmTimer(deadline_);
+    ArmTimer(deadlines_.begin_by());
   }
   reader_.emplace();
   AwaitBytes();
   // Send the upstream the time that remains after connecting.
-  const runtime::Duration left =
-      request_arriving_ ? request_.timeouts.until_begun : runtime::Duration(deadline_ - runtime::Now());
+  const runtime::Duration left = request_arriving_
+                                     ? request_.timeouts.until_begun
+                                     : runtime::Duration(deadlines_.begin_by() - runtime::Now());
   writer_->Start(*request_.message, std::chrono::duration_cast<milliseconds>(left));
 }
 
@@ -160,7 +93,7 @@
   if (written) SetWritten();
   if (pending_end_) return FinishWithoutResponse(*pending_end_);
   if (connection_->closed()) return;
-  if (error) return End(Cause::kBroken, ExchangeFailure::kWriteFailed);
+  if (error) return End(ExchangeEnd::kBroken, ExchangeFailure::kWriteFailed);
   phase_ = Phase::kAwaitingResponse;
 }
 
@@ -176,8 +109,8 @@
 void UpstreamExchange::OnBodyWritten() {
   phase_ = Phase::kAwaitingResponse;
   if (std::exchange(request_arriving_, false)) {
-    SetDeadlines(runtime::Now());
-    ArmTimer(deadline_);
+    deadlines_.Begin(request_.timeouts, runtime::Now());
+    ArmTimer(deadlines_.begin_by());
   }
   SetWritten();
 }
@@ -197,7 +130,7 @@
   connection_->socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
     self->awaiting_bytes_ = false;
     if (self->connection_->closed() || self->phase_ == Phase::kEnded) return;
-    if (error) return self->End(Cause::kBroken, ExchangeFailure::kConnectionReset);
+    if (error) return self->End(ExchangeEnd::kBroken, ExchangeFailure::kConnectionReset);
     self->Receive();
   });
 }
@@ -209,7 +142,7 @@
     const std::size_t size = runtime::ReadSome(connection_->socket(), reader_->Prepare(wanted), error);
     if (runtime::WouldBlock(error)) break;
     if (error == boost::asio::error::eof) return OnUpstreamClosed();
-    if (error) return End(Cause::kBroken, ExchangeFailure::kConnectionReset);
+    if (error) return End(ExchangeEnd::kBroken, ExchangeFailure::kConnectionReset);
     reader_->Commit(size);
     if (!Process()) return;
   }
@@ -256,7 +189,7 @@
 
 void UpstreamExchange::OnUpstreamClosed() {
   const auto self = shared_from_this();
-  if (!reader_->started()) return End(Cause::kBroken, ExchangeFailure::kClosedUnanswered);
+  if (!reader_->started()) return End(ExchangeEnd::kBroken, ExchangeFailure::kClosedUnanswered);
   OnStep(reader_->AdvanceAtEnd());
 }
 
@@ -289,37 +222,28 @@
   const bool buffers = (status != 200 || (length && *length <= kBufferLimit)) &&
                        GrowBodyBuffer(std::min<std::uint64_t>(length.value_or(kBufferLimit), kBufferLimit));
   if (status != 200) return true;
-  answer_time_ = runtime::Now() - started_at_;
+  const runtime::TimePoint now = runtime::Now();
+  answer_time_ = now - deadlines_.started_at();
   if (length && !buffers) return StartStreaming();
-  BeginBuffering();
+  deadlines_.BeginBuffering(length.has_value(), now);
+  ArmTimer(deadlines_.buffer_until());
   return true;
 }
 
 // Returns false if the response must not be used, and ends the exchange then.
 bool UpstreamExchange::AcceptHead(unsigned status) {
   if (status == 200 && !written_) {
-    End(Cause::kBroken, ExchangeFailure::kEarlyAnswer);
+    End(ExchangeEnd::kBroken, ExchangeFailure::kEarlyAnswer);
   } else if (status == 200 && !reader_->has_defined_end()) {
     EndUnsound(MessageDefect::kUndefinedEnd);
   } else if (!response_memory_.Reserve(HeadMemoryBeyondAllowance())) {
-    End(Cause::kBroken, ExchangeFailure::kMemory);
+    End(ExchangeEnd::kBroken, ExchangeFailure::kMemory);
   } else {
     return true;
   }
   return false;
 }
 
-// A response of known length is buffered for as long as the client's time allows. One of unknown length may
-// be long, so it is streamed earlier: once no other attempt would be made in its place, and 1 s after its
-// head at the latest.
-void UpstreamExchange::BeginBuffering() {
-  const runtime::TimePoint now = runtime::Now();
-  runtime::TimePoint until = forward_at_;
-  if (!reader_->content_length()) until = std::min({until, deadline_, now + kBufferingTimeout});
-  buffering_ = Buffering{now, until};
-  ArmTimer(until);
-}
-
 std::size_t UpstreamExchange::HeadMemoryBeyondAllowance() const {
   const std::size_t head = kResponseHeadCopies * HeadMemory(reader_->head());
   return head > ExchangeMemory::kHeadAllowance ? head - ExchangeMemory::kHeadAllowance : 0;
@@ -336,7 +260,7 @@
 
 bool UpstreamExchange::OnBodyFull() {
   if (response_stream_) return ForwardBody();
-  if (buffering_) {
+  if (deadlines_.buffering()) {
     const std::size_t capacity = reader_->body_capacity();
     if (capacity < kBufferLimit && GrowBodyBuffer(std::min(2 * capacity, kBufferLimit))) return true;
     return StartStreaming();
@@ -350,7 +274,7 @@
 // enough.
 bool UpstreamExchange::ForwardBody() {
   if (!response_stream_) {
-    const bool streams = buffering_ && !reader_->complete() && ShouldStream();
+    const bool streams = deadlines_.buffering() && !reader_->complete() && ShouldStream();
     return !streams || StartStreaming();
   }
   const auto stream = response_stream_;  // its consumer may end the exchange and with it the member
@@ -372,22 +296,15 @@
   return true;
 }
 
-// A response that is long by now is streamed. A short one is buffered further: it may be complete in time, or
-// it may break off, and then the request can be retried. When its client's time is nearly over, it is
-// streamed if its upstream is still writing it, that is, at the minimum rate of a body or above.
 bool UpstreamExchange::ShouldStream() const {
-  const runtime::TimePoint now = runtime::Now();
-  const std::size_t size = reader_->body().size();
-  if (!hooks_.on_started || now < buffering_->until || size == 0) return false;
-  if (size >= kMinStreamedSize) return true;
-  const double elapsed_seconds = std::chrono::duration<double>(now - buffering_->head_at).count();
-  return now >= forward_at_ && static_cast<double>(size) >= elapsed_seconds * kMinBodyRate;
+  return hooks_.on_started && deadlines_.ShouldStream(reader_->body().size(), runtime::Now());
 }
 
 void UpstreamExchange::OnBufferingTimeout() {
   if (!ShouldStream()) {
-    if (runtime::Now() >= give_up_at_) return End(Cause::kTimeout, ExchangeFailure::kSilent);
-    return ArmTimer(runtime::Now() < forward_at_ ? forward_at_ : give_up_at_);
+    const auto next_check = deadlines_.NextCheck(runtime::Now());
+    if (!next_check) return End(ExchangeEnd::kTimeout, ExchangeFailure::kSilent);
+    return ArmTimer(*next_check);
   }
   const auto self = shared_from_this();
   if (StartStreaming()) PrepareStreamCapacity();
@@ -399,7 +316,7 @@
     EndUnsound(MessageDefect::kBodyTooLarge);
     return false;
   }
-  buffering_.reset();
+  deadlines_.EndBuffering();
   HttpResponse head;
   head.base() = reader_->head();
   // The stream claims its own memory.
@@ -429,7 +346,7 @@
   const bool reusable = reader_->keep_alive() && reader_->complete() && written_ &&
                         !reader_->has_unparsed_bytes() && !bytes_behind_;
   HttpResponse response = reader_->Release();
-  dispatch::ExchangeResult result{OutcomeOf(response), runtime::Now() - started_at_,
+  dispatch::ExchangeResult result{OutcomeOf(response), runtime::Now() - deadlines_.started_at(),
                                   ParseLoadReport(response["X-Server-Load"]), nullptr, answer_time_};
   if (result.outcome != Outcome::kServed) result.cause = LogNameOf(ExchangeFailure::kStatus);
   result.request_incomplete = request_arriving_ && IsClientError(response);
@@ -459,10 +376,10 @@
   const auto self = shared_from_this();
   const auto on_end = MarkEnded();
   ReleaseConnection();
-  on_end({Outcome::kNotSent, connection_->idle_since() - started_at_, {}, nullptr});
+  on_end({Outcome::kNotSent, connection_->idle_since() - deadlines_.started_at(), {}, nullptr});
 }
 
-void UpstreamExchange::End(Cause cause, std::string_view log_cause) {
+void UpstreamExchange::End(ExchangeEnd cause, std::string_view log_cause) {
   if (phase_ == Phase::kEnded || pending_end_) return;
   log_cause_ = log_cause;
   if (connection_->connected()) connection_->DiscardUnsent();
@@ -476,23 +393,30 @@
 
 void UpstreamExchange::EndUnsound(MessageDefect defect) {
   connection_->CountUnsound();
-  End(Cause::kBroken, LogNameOf(defect));
+  End(ExchangeEnd::kBroken, LogNameOf(defect));
 }
 
-void UpstreamExchange::FinishWithoutResponse(Cause cause) {
+void UpstreamExchange::FinishWithoutResponse(ExchangeEnd cause) {
   ReleaseRequestBody();
   const auto stream = std::exchange(response_stream_, nullptr);
   const Outcome outcome = OutcomeOf(cause, written_);
   const auto self = shared_from_this();
   const auto on_end = MarkEnded();
-  const bool request_incomplete = cause == Cause::kBroken && request_arriving_ && connection_->connected();
-  on_end({outcome, runtime::Now() - started_at_, {}, nullptr, answer_time_, log_cause_, request_incomplete});
+  const bool request_incomplete =
+      cause == ExchangeEnd::kBroken && request_arriving_ && connection_->connected();
+  on_end({outcome,
+          runtime::Now() - deadlines_.started_at(),
+          {},
+          nullptr,
+          answer_time_,
+          log_cause_,
+          request_incomplete});
   if (stream) stream->End(runtime::Stream::State::kTruncated);
 }
 
 void UpstreamExchange::Abandon() {
   if (phase_ == Phase::kConnecting) abandoned_ = true;
-  if (phase_ == Phase::kWriting && !written_) End(Cause::kCancelled, ExchangeFailure::kCancelled);
+  if (phase_ == Phase::kWriting && !written_) End(ExchangeEnd::kCancelled, ExchangeFailure::kCancelled);
 }
 
 void UpstreamExchange::Close() {
@@ -548,8 +472,8 @@
   if (connection_->closed() || phase_ == Phase::kEnded) return;
   // The timer may have fired just before it was re-armed.
   if (timer_.expiry() > std::chrono::steady_clock::now()) return;
-  if (buffering_) return OnBufferingTimeout();
-  End(Cause::kTimeout, ExchangeFailure::kSilent);
+  if (deadlines_.buffering()) return OnBufferingTimeout();
+  End(ExchangeEnd::kTimeout, ExchangeFailure::kSilent);
 }
 
 }  // namespace mothrack::http
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -20,9 +20,11 @@
 #include "dispatch/exchange.h"
 #include "http/exchange_failure.h"
 #include "http/exchange_memory.h"
+#include "http/exchange_outcome.h"
 #include "http/message_rules.h"
 #include "http/messages.h"
 #include "http/request_writer.h"
+#include "http/response_deadlines.h"
 #include "http/response_reader.h"
 #include "http/upstream_connection.h"
 #include "runtime/clock.h"
@@ -60,18 +62,11 @@
   // Must be called once, after a shared_ptr owns the exchange.
   void Start();
 
-  // Why an exchange ends without a response.
-  enum class Cause {
-    kBroken,     // the connection broke, or the response is malformed
-    kTimeout,    // no response in time
-    kCancelled,  // the response is no longer needed
-    kNotSent,    // a local error prevented sending
-  };
   // Ends the exchange without a response and closes its connection, because late bytes must never reach
   // another request. Whether the last byte was written is decided only when no write is pending: a write that
   // the kernel has accepted, but whose handler has not run yet, counts as written. The safety of a retry
   // depends on this.
-  void End(Cause cause, ExchangeFailure failure) { End(cause, LogNameOf(failure)); }
+  void End(ExchangeEnd cause, ExchangeFailure failure) { End(cause, LogNameOf(failure)); }
 
   // The request has its final answer already. A connection that is established later must not carry this
   // exchange, because the request would run after its final answer.
@@ -87,8 +82,6 @@
   // An exchange is in kEnded before Start() and after its end.
   enum class Phase { kEnded, kConnecting, kWriting, kAwaitingResponse };
 
-  void SetDeadlines(runtime::TimePoint now);
-
   // Connecting and writing
   void OnConnected(boost::system::error_code error);
   void BeginWriting();
@@ -97,7 +90,7 @@
   void OnSocketFull() override;
   void OnBodyWritten() override;
   void OnBodyFailed(bool truncated) override {
-    End(Cause::kBroken, truncated ? ExchangeFailure::kRequestBroke : ExchangeFailure::kWriteFailed);
+    End(ExchangeEnd::kBroken, truncated ? ExchangeFailure::kRequestBroke : ExchangeFailure::kWriteFailed);
   }
   std::shared_ptr<RequestWriter> shared_writer() override { return {shared_from_this(), writer_.get()}; }
   void SetWritten();
@@ -119,18 +112,17 @@
   bool BytesBehindAreUnsound();
   std::size_t HeadMemoryBeyondAllowance() const;
   bool GrowBodyBuffer(std::size_t size);
-  void BeginBuffering();
   bool ShouldStream() const;
   void OnBufferingTimeout();
   bool StartStreaming();
 
   // Ending
-  void End(Cause cause, std::string_view log_cause);
+  void End(ExchangeEnd cause, std::string_view log_cause);
   // The response is not sound.
   void EndUnsound(MessageDefect defect);
   void FinishWithResponse();
   void FinishUnused();
-  void FinishWithoutResponse(Cause cause);
+  void FinishWithoutResponse(ExchangeEnd cause);
   // Marks the exchange as ended; no hook is called after this. Returns on_end, which the caller still has to
   // call.
   dispatch::Transport::OnEnd MarkEnded();
@@ -157,8 +149,8 @@
   std::optional<ResponseReader> reader_;
   std::shared_ptr<runtime::Stream> response_stream_;  // the body of a response that is being streamed
   Phase phase_ = Phase::kEnded;
-  std::optional<Cause> pending_end_;  // cause of an end that waits for the pending write
-  std::string_view log_cause_;        // of the end, for the log; a literal
+  std::optional<ExchangeEnd> pending_end_;  // cause of an end that waits for the pending write
+  std::string_view log_cause_;              // of the end, for the log; a literal
   int interim_responses_ = 0;
   bool request_arriving_ = false;  // the request body was still arriving at Start() and is not fully written
   bool written_ = false;           // the last byte of the request was written
@@ -167,19 +159,8 @@
   bool awaiting_bytes_ = false;    // a wait for readability is pending
   bool bytes_behind_ = false;      // bytes follow the response
   bool processing_ = false;        // guards Process() against re-entry
-  // Set while a 200 is buffered: when its head arrived, and from when on it is streamed if it is long by
-  // then.
-  struct Buffering {
-    runtime::TimePoint head_at;
-    runtime::TimePoint until;
-  };
-  std::optional<Buffering> buffering_;
-  std::optional<runtime::Duration> answer_time_;  // from `started_at_` to the head of a 200
-  runtime::TimePoint started_at_;  // when the request's timeouts began to run, see Request::timeouts
-  runtime::TimePoint deadline_;    // of a response that has not begun
-  // Of a response that has begun: when it is passed on, and when it is given up instead.
-  runtime::TimePoint forward_at_;
-  runtime::TimePoint give_up_at_;
+  std::optional<runtime::Duration> answer_time_;  // from the start of the time limits to the head of a 200
+  ResponseDeadlines deadlines_;                   // see Request::timeouts
 };
 
 }  // namespace mothrack::http
