--- a/tests/soak/processor_time.cpp
+++ b/tests/soak/processor_time.cpp
@@ -33,21 +33,17 @@
   }
 }
 
-std::string ProcessorTime::WorstSecond() const {
+std::string ProcessorTime::BySecond() const {
   const std::lock_guard lock(mutex_);
   std::string text;
-  double worst = -1;
-  for (std::size_t last = kWindow; last < samples_.size(); ++last) {
+  for (std::size_t last = kWindow; last < samples_.size(); last += kWindow) {
     const Sample& from = samples_[last - kWindow];
     const Sample& to = samples_[last];
-    const double waited = to.waited_s - from.waited_s;
-    if (waited <= worst) continue;
-    worst = waited;
-    char line[96];
-    std::snprintf(line, sizeof line, "waited %.2f s and ran %.2f s from %.1f to %.1f s", waited,
-                  to.ran_s - from.ran_s, std::chrono::duration<double>(from.at - begin_).count(),
-                  std::chrono::duration<double>(to.at - begin_).count());
-    text = line;
+    const double until_s = std::chrono::duration<double>(to.at - begin_).count();
+    char line[64];
+    std::snprintf(line, sizeof line, " until %.1f s %.2f/%.2f", until_s, to.waited_s - from.waited_s,
+                  to.ran_s - from.ran_s);
+    text += line;
   }
   return text;
 }
--- a/tests/soak/processor_time.h
+++ b/tests/soak/processor_time.h
@@ -24,8 +24,9 @@
   ProcessorTime(const ProcessorTime&) = delete;
   ProcessorTime& operator=(const ProcessorTime&) = delete;
 
-  // The second in which the process waited longest for a processor; empty if nothing could be read.
-  std::string WorstSecond() const;
+  // For each second or so how long the process waited for a processor, and how long it ran; empty if nothing
+  // could be read.
+  std::string BySecond() const;
 
  private:
   struct Sample {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -93,7 +93,7 @@
     if (!IsAlive(node)) books_.AddViolation(Rule::kProcess, "ended by itself: " + node.log());
     End(node);
     clients.Stop();
-    return Report(resident, processor_time.WorstSecond(), node);
+    return Report(resident, processor_time.BySecond(), node);
   }
 
  private:
@@ -161,7 +161,7 @@
     }
   }
 
-  bool Report(std::size_t resident, const std::string& worst_second, const Node& node) {
+  bool Report(std::size_t resident, const std::string& processor_time, const Node& node) {
 #ifndef __SANITIZE_ADDRESS__
     if (resident > static_cast<std::size_t>(memory_mb_) * 1024) {
       books_.AddViolation(Rule::kProcess,
@@ -179,7 +179,7 @@
     for (const Violation& violation : violations) {
       std::printf("  %s: %s\n", NameOf(violation.rule), violation.trace.c_str());
     }
-    if (!violations.empty()) std::printf("  the sidecar %s\n", worst_second.c_str());
+    if (!violations.empty()) std::printf("  the sidecar waited/ran (s)%s\n", processor_time.c_str());
     if (!violations.empty() && std::getenv("SOAK_LOG") != nullptr) std::printf("%s\n", node.log().c_str());
     std::fflush(stdout);
     return violations.empty();
