DNS test of leaving resolvers: wait for the reload, not for a time

Reason: the truncated answers came after 0.5 s, which a slow machine may need for the reload. Change: both stand-ins hold their queries until all have arrived, and the truncated answers come once the reload is logged.

--- a/tests/dns/dns_truncation_test.cpp
+++ b/tests/dns/dns_truncation_test.cpp
@@ -2,8 +2,11 @@
 // over TCP; outcomes if TCP fails.
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <mutex>
 #include <string>
+#include <vector>
 
 #include "dns/dns_helpers.h"
 #include "gtest/gtest.h"
@@ -100,25 +103,50 @@
   EXPECT_GE(refusing.udp_queries(), 1);
 }
 
+// Queries over UDP that a resolver has received and not answered.
+class UnansweredQueries {
+ public:
+  Script Collect() {
+    return [this](Responder& responder) {
+      const std::lock_guard lock(mutex_);
+      queries_.push_back(responder);
+    };
+  }
+  // Returns how many there were.
+  std::size_t Answer(const AnswerSpec& spec) {
+    const std::lock_guard lock(mutex_);
+    for (Responder& query : queries_) query.Answer(spec);
+    return queries_.size();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::vector<Responder> queries_;
+};
+
 // Guards against this failure: queries whose truncated answers came while their resolver was leaving counted
 // as its errors, and their retries took more from the retry budget than it had.
 TEST(Truncation, AtALeavingResolverIsRetriedElsewhere) {
   constexpr std::uint16_t kQueries = 40;
-  StandinResolver leaving([](Responder& responder) {
-    AnswerSpec spec;
-    spec.truncated = true;
-    responder.SendAfter(milliseconds(500), MakeAnswer(responder.query(), spec));
-  });
-  StandinResolver staying(StandinResolver::Echo());
+  UnansweredQueries at_leaving;
+  UnansweredQueries at_staying;
+  StandinResolver leaving(at_leaving.Collect());
+  StandinResolver staying(at_staying.Collect());
   Node node(
       DnsOnlyOptions(OperatorFile(ResolverList().Add("l", leaving.address()).Add("s", staying.address()))));
   ASSERT_TRUE(node.DnsListening());
   DnsUdpClient client(node.dns_port());
   for (std::uint16_t id = 0; id < kQueries; ++id) client.Send(MakeQuery(QueryFor("a.org", id)));
   ASSERT_TRUE(Eventually([&] { return leaving.queries() + staying.queries() >= kQueries; }));
-  EXPECT_GE(leaving.queries(), 10);
+  staying.SetScript(StandinResolver::Echo());
+  at_staying.Answer({});
   node.ReloadOperatorFile(
       OperatorFile(ResolverList().Add("l", leaving.address(), "leaving").Add("s", staying.address())));
+  ASSERT_TRUE(
+      Eventually([&] { return node.log().find(" info resolvers_reloaded file=") != std::string::npos; }));
+  AnswerSpec truncated;
+  truncated.truncated = true;
+  EXPECT_GE(at_leaving.Answer(truncated), 10U);
   for (std::uint16_t id = 0; id < kQueries; ++id) {
     const auto answer = client.Receive();
     ASSERT_TRUE(answer);
--- a/tests/standins/resolver.h
+++ b/tests/standins/resolver.h
@@ -29,7 +29,8 @@
     int connection = -1;  // over TCP: the connection's number
   };
 
-  // Answers one query. Valid only while the script runs; SendAfter() schedules a later answer.
+  // Answers one query. Valid only while the script runs, but a copy may answer a query over UDP later, from
+  // any thread. SendAfter() schedules a later answer.
   class Responder {
    public:
     const Octets& query() const { return query_.query; }
