--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Runs the case once, after the deploy file's build and review/build-2.sh. Exit code: 1 the rule was broken, 0 it
+# held, 2 the case could not run. TROUBLE=0 leaves out the disruption. What was seen goes to record.txt.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
+[ -n "$run" ] && [ -x build/mothrack ] && [ -x build/review-2/long_answer ] || exit 2
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+timeout -k 2 115 build/review-2/long_answer "$run" "$folder" "$here/record.txt"
+verdict=$?
+[ "$verdict" -le 1 ] || exit 2
+exit "$verdict"
