A planned stop fails every request that is open at its last moment

What callers saw: while a sidecar was stopped (SIGTERM), requests that a slow client was still writing when the stop began got neither an answer nor a failure if their upstream hung; SIGKILL reset their connections. The same for requests from before SIGTERM with a deadline past the last moment, and for all open requests of the former process of an upgrade.

Cause: Listener::SweepConnection() failed open requests 0.2 s before SIGKILL only if since() was later than the stop's begin and there was no successor. since() is the time of a request's first byte, not of its last, by which the request is taken and its time begins.

The new test PlannedStopEnd failed for all six parameters on the code before (every kind of request in it), while requests whose first byte came after SIGTERM were failed in time: the time of the first byte is the only difference.

Works because nothing else decides what SIGKILL would find.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -139,8 +139,20 @@
 
 // ---- Queries of the owner ----
 
-bool ClientConnection::IsNew(runtime::TimePoint now) const {
-  return unused_ && now - since_ < kNewConnectionAge;
+ConnectionState ClientConnection::StateAt(runtime::TimePoint now) const {
+  switch (phase_) {
+    case Phase::kReading:
+      if (reader_.started()) return ConnectionState::kArriving;
+      return unused_ && now - since_ < kNewConnectionAge ? ConnectionState::kNew : ConnectionState::kIdle;
+    case Phase::kServing:
+      return ConnectionState::kServing;
+    case Phase::kWriting:
+      return ConnectionState::kResponding;
+    case Phase::kLingering:
+    case Phase::kHalfClosed:
+      break;
+  }
+  return ConnectionState::kAwaitingClose;
 }
 
 bool ClientConnection::ReadsNothing() const {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -12,7 +12,6 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -21,9 +20,11 @@
 
 #include "http/body_deadline.h"
 #include "http/client_log.h"
+#include "http/connection_timeouts.h"
 #include "http/eviction_policy.h"
 #include "http/lingering_close.h"
 #include "http/messages.h"
+#include "http/planned_stop.h"
 #include "http/read_memory.h"
 #include "http/request_handler.h"
 #include "http/request_reader.h"
@@ -35,15 +36,6 @@
 
 namespace mothrack::http {
 
-// Time limit for three phases: for the head of the first request, from the start of the connection; for that
-// of a later request, from its first byte; and for writing a response. Trickling bytes does not renew it,
-// because the deployment requires that silent and stalled clients are disconnected within 3 s of connecting.
-// It is also the longest silence in a request body, see BodyDeadline.
-inline constexpr runtime::Duration kRequestTimeout = std::chrono::milliseconds(2500);
-// How long to wait for the client's close after the sidecar's half-close. Closing at once could send an RST
-// that overtakes the response. The time is short because a planned stop waits for it too.
-inline constexpr runtime::Duration kLingerTimeout = std::chrono::milliseconds(250);
-
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>,
                          private ResponseWriter::Owner {
  public:
@@ -98,15 +90,11 @@
 
   // Start of the current phase, or the time of the first byte of the current request.
   runtime::TimePoint since() const { return since_; }
-  // Whether the connection waits for a request of which no byte has arrived.
-  bool Idle() const { return phase_ == Phase::kReading && !reader_.started(); }
-  // Whether the client connected recently and has sent nothing yet, so that a request is likely to follow.
-  bool IsNew(runtime::TimePoint now) const;
+  // Input of a planned stop.
+  ConnectionState StateAt(runtime::TimePoint now) const;
   // Whether it waits for a request or reads one that no handler has yet.
   bool ReadsRequest() const { return phase_ == Phase::kReading; }
   int native_handle() { return socket_.native_handle(); }
-  // Whether all responses are written and only the client's close is awaited.
-  bool AwaitsClose() const { return phase_ == Phase::kLingering || phase_ == Phase::kHalfClosed; }
   // Whether no read is pending, so that the event loop does not report a disconnect of the client.
   bool ReadsNothing() const;
   // Whether the kernel's receive buffer holds bytes of an incomplete request. Closing now would lose them.
@@ -169,6 +157,8 @@
   void OnWriteFailed() override { Close(CloseReason::kWriteFailed); }
   std::shared_ptr<ResponseWriter> shared_writer() override { return {shared_from_this(), &writer_}; }
 
+  // Whether all responses are written and only the client's close is awaited.
+  bool AwaitsClose() const { return phase_ == Phase::kLingering || phase_ == Phase::kHalfClosed; }
   // Whether the current phase has lasted longer than it may.
   bool IsOverdue(runtime::TimePoint now) const;
   // Ends the attempts of the current request and its body, if that is still arriving.
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -30,23 +30,6 @@
 // Interval at which connections from which nothing is read are checked for a disconnect. No attempt may start
 // more than 0.1 s after the client has disconnected.
 constexpr runtime::Duration kDisconnectCheckInterval = milliseconds(25);
-// Clients keep opening connections for a moment after a planned stop began, so accepting continues this long.
-constexpr runtime::Duration kAcceptWhileDraining = milliseconds(800);
-// SIGKILL may follow SIGTERM after the longest deadline, of which at most kMaxCountedDeadline counts, plus
-// kKillAfter.
-constexpr runtime::Duration kMaxCountedDeadline = seconds(3);
-constexpr runtime::Duration kKillAfter = milliseconds(700);
-// The stop must be complete this long before SIGKILL.
-constexpr runtime::Duration kKillMargin = milliseconds(50);
-// Requests that are still open this long before the end of a planned stop are failed, so that their clients
-// can read that.
-constexpr runtime::Duration kLastAnswers = milliseconds(150);
-
-// Returns how long a planned stop may take.
-runtime::Duration MaxDrainTime(runtime::Duration longest_deadline) {
-  return std::min(longest_deadline, kMaxCountedDeadline) + kKillAfter - kKillMargin;
-}
-
 }  // namespace
 
 Listener::Listener(boost::asio::io_context& io, const runtime::ListenOptions& options,
@@ -58,7 +41,7 @@
       client_log_(log, runtime::Now()),
       acceptor_(io, options, "http", *this, log),
       sweep_interval_(std::clamp(deadlines.shortest / kSweepsInDeadline, kPollInterval, kSweepInterval)),
-      max_drain_time_(MaxDrainTime(deadlines.longest)),
+      longest_deadline_(deadlines.longest),
       sweep_timer_(
           io, [this] { return SweepInterval(); }, [this] { return OnSweep(); }) {
   sweep_timer_.Restart();
@@ -134,9 +117,9 @@
 }
 
 void Listener::Drain(std::function<void()> done) {
-  if (on_drained_) return;
+  if (stop_) return;
   on_drained_ = std::move(done);
-  drain_started_ = runtime::Now();
+  stop_.emplace(runtime::Now(), longest_deadline_);
   has_successor_ = acceptor_.paused();
   if (has_successor_) acceptor_.Release();
   sweep_timer_.Cancel();
@@ -166,7 +149,7 @@
 bool Listener::OnSweep() {
   if (drain_complete_) return false;
   Sweep();
-  if (!on_drained_ || acceptor_.is_open() || !connections_.empty()) return true;
+  if (!stop_ || acceptor_.is_open() || !connections_.empty()) return true;
   drain_complete_ = true;  // checked above: a sweep that was already due may run after this one
   on_drained_();
   return false;
@@ -177,24 +160,12 @@
   PollAcceptor(now);
   const auto connections = connections_.Snapshot();
   has_unread_connections_ = false;
-  const runtime::Duration draining_for = on_drained_ ? now - drain_started_ : runtime::Duration::zero();
-  for (const auto& connection : connections) SweepConnection(*connection, now, draining_for);
-  StopAccepting(draining_for);
+  for (const auto& connection : connections) SweepConnection(*connection, now);
+  StopAccepting(now);
 }
 
-void Listener::SweepConnection(ClientConnection& connection, runtime::TimePoint now,
-                               runtime::Duration draining_for) {
-  if (draining_for >= max_drain_time_ && connection.AwaitsClose()) {
-    return connection.CloseNow(CloseReason::kAnswered);
-  }
-  // What came before the stop is answered by its deadline, and a former process of a hot restart is not
-  // killed.
-  const bool came_late = !has_successor_ && connection.since() > drain_started_;
-  if (came_late && draining_for >= max_drain_time_ - kLastAnswers) connection.FailRequest();
-  // Near the end of the stop there is no time left to wait for a request on a new connection.
-  const bool keeps_new = draining_for < max_drain_time_ - kLingerTimeout;
-  const bool closes = quiescing() && connection.Idle() && !(keeps_new && connection.IsNew(now));
-  if (closes && !connection.HasUnreadBytes()) connection.HalfClose();
+void Listener::SweepConnection(ClientConnection& connection, runtime::TimePoint now) {
+  Execute(StepFor(connection, now), connection);
   connection.CheckUpload(now);
   connection.CloseIfOverdue(now);
   if (!connection.ReadsNothing()) return;
@@ -205,12 +176,32 @@
   }
 }
 
-void Listener::StopAccepting(runtime::Duration draining_for) {
-  if (draining_for <= std::min(kAcceptWhileDraining, max_drain_time_ - kLingerTimeout)) return;
+StopStep Listener::StepFor(const ClientConnection& connection, runtime::TimePoint now) const {
+  const ConnectionState state = connection.StateAt(now);
+  if (stop_) return stop_->StepFor(state, now);
+  return quiescing_ && state == ConnectionState::kIdle ? StopStep::kHalfClose : StopStep::kNone;
+}
+
+void Listener::Execute(StopStep step, ClientConnection& connection) {
+  switch (step) {
+    case StopStep::kNone:
+      return;
+    case StopStep::kHalfClose:
+      if (!connection.HasUnreadBytes()) connection.HalfClose();
+      return;
+    case StopStep::kFail:
+      return connection.FailRequest();
+    case StopStep::kClose:
+      return connection.CloseNow(CloseReason::kAnswered);
+  }
+}
+
+void Listener::StopAccepting(runtime::TimePoint now) {
+  if (!stop_ || stop_->AcceptsClients(now)) return;
   if (!acceptor_.is_open() || acceptor_.Close()) return;
   // If there is no capacity for the clients in the backlog, accepting continues until the existing
   // connections have had their time.
-  if (draining_for > kAcceptWhileDraining + kRequestTimeout) acceptor_.Release();
+  if (stop_->GivesUpBacklog(now)) acceptor_.Release();
 }
 
 }  // namespace mothrack::http
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -11,10 +11,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "http/client_connection.h"
 #include "http/client_log.h"
 #include "http/messages.h"
+#include "http/planned_stop.h"
 #include "http/request_handler.h"
 #include "runtime/acceptor.h"
 #include "runtime/address.h"
@@ -58,7 +60,7 @@
   // closed, and the others are closed after their response. The socket keeps listening so that `/up` can be
   // requested, and requests that still arrive are served.
   void Quiesce(bool on);
-  bool quiescing() const { return quiescing_ || on_drained_; }
+  bool quiescing() const { return quiescing_ || stop_; }
   // Also used by the front end, for requests that it rejects.
   ClientLog& client_log() override { return client_log_; }
   const ClientLog::Counts& client_counts() const { return client_log_.counts(); }
@@ -92,9 +94,12 @@
   // Called by the timer; returns false when the stop is complete.
   bool OnSweep();
   void Sweep();
-  void SweepConnection(ClientConnection& connection, runtime::TimePoint now, runtime::Duration draining_for);
-  // Closes the acceptor when the accepting period of a planned stop is over.
-  void StopAccepting(runtime::Duration draining_for);
+  void SweepConnection(ClientConnection& connection, runtime::TimePoint now);
+  // What quiescing or a planned stop does with the connection.
+  StopStep StepFor(const ClientConnection& connection, runtime::TimePoint now) const;
+  void Execute(StopStep step, ClientConnection& connection);
+  // Closes the acceptor when the accepting period of the planned stop is over.
+  void StopAccepting(runtime::TimePoint now);
   // Looks for clients in the listen backlog for which the event loop got no notification. Runs at most once
   // per kPollInterval.
   void PollAcceptor(runtime::TimePoint now);
@@ -106,15 +111,15 @@
   runtime::ConnectionSet<ClientConnection> connections_;
   runtime::Acceptor acceptor_;
   const runtime::Duration sweep_interval_;
-  const runtime::Duration max_drain_time_;  // maximum duration of a planned stop
-  runtime::TimePoint last_poll_;            // when the listen backlog was last polled
+  const runtime::Duration longest_deadline_;
+  runtime::TimePoint last_poll_;  // when the listen backlog was last polled
   runtime::SweepTimer sweep_timer_;
   std::function<void()> on_drained_;  // called when the planned stop is complete; set once it has started
+  std::optional<PlannedStop> stop_;   // set once the planned stop has started
   bool quiescing_ = false;
   bool has_unread_connections_ = false;  // there is a connection from which nothing is read
   bool drain_complete_ = false;          // the planned stop is complete, and on_drained_ was called
   bool has_successor_ = false;           // draining while a successor accepts clients at the same address
-  runtime::TimePoint drain_started_;
 };
 
 }  // namespace mothrack::http
--- a/tests/http/listener_drain_test.cpp
+++ b/tests/http/listener_drain_test.cpp
@@ -1,8 +1,10 @@
 // Tests how quiescing and draining end connections: between requests, during one, and in the backlog.
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <vector>
 
 #include "http/listener_fixture.h"
 
@@ -155,6 +157,143 @@
   EXPECT_EQ(drains_ended, 1);
 }
 
+// ---- The last moment of a planned stop ----
+
+// How a client sends a request that is open when the stop begins, or becomes so while it lasts.
+struct SlowRequest {
+  std::string name;
+  std::string text;
+  std::size_t cut = 0;          // sent before the stop begins
+  milliseconds last_byte_at{};  // when the rest is sent, after the stop began
+  bool reuses_connection = false;
+};
+
+// The stop is killed at `end`.
+std::vector<SlowRequest> SlowRequests(milliseconds end) {
+  const std::string body(300, 'b');
+  const std::string head = Get("/p");
+  const std::string post = Post("Content-Length: 300\r\n", body);
+  const std::string streamed = PostOfLength(100'000, 100'000);
+  std::vector<SlowRequest> requests;
+  for (const bool reuses : {false, true}) {
+    requests.push_back({"whole before the stop", head, head.size(), milliseconds(0), reuses});
+    // A longer silence gets a 408 before the end of the stop.
+    if (end < http::kRequestTimeout) {
+      requests.push_back({"upload that never ends", streamed, streamed.size() - 1, end, reuses});
+    }
+    for (const int at : {0, 350, 700, 750, 1800}) {
+      const milliseconds last_byte_at(at);
+      requests.push_back({"slow head", head, 5, last_byte_at, reuses});
+      requests.push_back({"last byte of the head is slow", head, head.size() - 1, last_byte_at, reuses});
+      requests.push_back({"slow body", post, post.size() - 100, last_byte_at, reuses});
+      requests.push_back({"slow streamed body", streamed, streamed.size() - 1, last_byte_at, reuses});
+    }
+  }
+  return requests;
+}
+
+struct LastMoment {
+  milliseconds longest_deadline;
+  bool has_successor;  // another process accepts clients at the same address
+};
+
+class PlannedStopEnd : public ListenerTest, public ::testing::WithParamInterface<LastMoment> {
+ protected:
+  struct Sender {
+    std::string name;  // of its request
+    Client* client;
+  };
+
+  // From the begin of the stop: SIGKILL, and the moment shortly before it when open requests are answered.
+  const milliseconds kill_at = std::min(GetParam().longest_deadline, milliseconds(3000)) + milliseconds(700);
+  const milliseconds answers_at = kill_at - milliseconds(200);
+
+  void SetUp() override {
+    longest_deadline = GetParam().longest_deadline;
+    Listen(kManyDescriptors, 16 << 20);
+    replies_at_once = false;
+  }
+
+  Client& Begin(const SlowRequest& request) {
+    Client& client = Connect();
+    if (request.reuses_connection) {
+      Send(client, Get("/first"));
+      EXPECT_TRUE(WaitUntil([&] { return !forwarded.empty() && forwarded.back().reply; }));
+      Reply(forwarded.back());
+      EXPECT_TRUE(Receives(client, "answer /first"));
+      client.received.clear();
+    }
+    SendAll(client, request.text.substr(0, request.cut));
+    return client;
+  }
+
+  void BeginDrain() {
+    if (GetParam().has_successor) listener->PauseAccepting();
+    listener->Drain([this] { ++drains_ended; });
+  }
+
+  // Advances from one moment of the stop to another, and sends what is due then.
+  void AdvanceTo(milliseconds& at, milliseconds until) {
+    if (until > at) AdvanceTime(until - at, milliseconds(10));
+    at = std::max(at, until);
+  }
+
+  // Begins the requests, then the stop, and goes on until shortly after the last answers.
+  void PlayUntilLastAnswers(std::vector<SlowRequest> requests) {
+    std::stable_sort(requests.begin(), requests.end(), [](const SlowRequest& a, const SlowRequest& b) {
+      return a.last_byte_at < b.last_byte_at;
+    });
+    for (const SlowRequest& request : requests) senders.push_back({request.name, &Begin(request)});
+    AdvanceTime(milliseconds(50));
+    BeginDrain();
+    milliseconds at{};
+    for (std::size_t i = 0; i < requests.size() && requests[i].last_byte_at < answers_at; ++i) {
+      AdvanceTo(at, requests[i].last_byte_at);
+      Client& client = *senders[i].client;
+      ASSERT_FALSE(client.end) << senders[i].name;
+      if (requests[i].cut < requests[i].text.size())
+        SendAll(client, requests[i].text.substr(requests[i].cut));
+    }
+    AdvanceTo(at, answers_at - milliseconds(20));
+    for (const Sender& sender : senders) {
+      EXPECT_EQ(Receive(*sender.client), "") << sender.name << ": an answer could still have come";
+    }
+    AdvanceTo(at, answers_at + milliseconds(20));
+  }
+
+  std::vector<Sender> senders;
+
+  void ExpectAnswers(const std::string& status) {
+    for (const Sender& sender : senders) {
+      EXPECT_NE(Receive(*sender.client).find(status), std::string::npos) << sender.name;
+    }
+  }
+};
+
+INSTANTIATE_TEST_SUITE_P(
+    Listener, PlannedStopEnd,
+    ::testing::Values(LastMoment{milliseconds(100), false}, LastMoment{milliseconds(1000), false},
+                      LastMoment{milliseconds(3000), false}, LastMoment{milliseconds(5000), false},
+                      LastMoment{milliseconds(100), true}, LastMoment{milliseconds(3000), true}),
+    [](const auto& info) {
+      return std::to_string(info.param.longest_deadline.count()) + "ms" +
+             (info.param.has_successor ? "WithSuccessor" : "");
+    });
+
+// Guards against this failure: the SIGKILL that ends a planned stop found requests without any answer,
+// because their first byte had come before SIGTERM or because a successor had taken over the address.
+TEST_P(PlannedStopEnd, EveryRequestThatIsServedThenIsFailedBeforeTheKill) {
+  std::vector<SlowRequest> requests = SlowRequests(kill_at);
+  std::erase_if(requests, [&](const SlowRequest& request) {
+    const bool streams = request.cut > http::kBufferLimit;
+    return !streams && request.last_byte_at >= answers_at;
+  });
+  PlayUntilLastAnswers(requests);
+  ExpectAnswers(" 504 ");
+  AdvanceTime(kill_at - answers_at - milliseconds(30), milliseconds(10));
+  EXPECT_EQ(drains_ended, 1);
+}
+
 TEST_F(ListenerTest, ADrainDuringASweepEndsOnce) {
   listener->PauseAccepting();
   // Both the sweep and the handler below are due, and the handler, which starts the drain, runs first.
--- a/tests/http/listener_fixture.h
+++ b/tests/http/listener_fixture.h
@@ -103,7 +103,7 @@
     budget.emplace(budget_bytes);
     const runtime::ListenOptions options(runtime::Endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
     listener.emplace(io, options, *descriptors, *budget, log,
-                     http::DeadlineRange{std::chrono::seconds(5), std::chrono::seconds(5)},
+                     http::DeadlineRange{std::chrono::seconds(5), longest_deadline},
                      [this](http::HttpRequest request, http::StreamedBody streamed_body,
                             http::RequestMemory memory, http::ReplyCallback reply) {
                        return HandleRequest(std::move(request), std::move(streamed_body), std::move(memory),
@@ -287,6 +287,7 @@
   bool replies_at_once = true;  // the handler replies as soon as the request is complete
   bool consumes_bodies = true;  // the handler consumes bodies that are still arriving
   std::size_t extra_response_bytes = 0;
+  runtime::Duration longest_deadline = std::chrono::seconds(5);  // takes effect in Listen()
   runtime::Logger log{"t"};
   boost::asio::io_context clients_io;  // of the clients' sockets; never run
   boost::asio::io_context io{1};
