A planned stop refuses requests that are still arriving at its last moment

What callers saw: a request that was still being read (head, buffered body, after 100 Continue) when SIGKILL came was reset without an answer, also if its last byte had just been written; the process never ended by itself then.

Cause: the stop's last step acted only on requests that a handler has; others were left to the limits for slow clients, which may end after SIGKILL.

Evidence: PlannedStopEnd.ARequestThatIsStillArrivingThenIsRefusedBeforeTheKill fails with the step taken out of the table (no answer, no end of the connections) and passes with it, for deadlines of 0.1 to 5 s, with and without a successor, on first and reused connections.

Change: the table's row "arriving" turns to 503 0.2 s before SIGKILL: no upstream has any of the request, so trying again is harmless. What the client still writes is read and dropped, as after any early answer.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -27,7 +27,7 @@
 // How many copies of a response's head there are while it is written: the fields, and for a streamed body
 // their text.
 constexpr std::size_t kResponseHeadCopies = 2;
-// For a client whose request is rejected because memory is short.
+// For a client whose request is refused.
 constexpr const char* kRetryAfterSeconds = "1";
 // The time after which a response that cannot be written further ends the connection. It is long because the
 // kernel's send buffer may hold much of the response, and the socket becomes writable only after the client
@@ -42,6 +42,12 @@
   return {id.data(), std::min(id.size(), kMaxRequestIdSize)};
 }
 
+HttpResponse RefusedResponse(const char* text) {
+  auto response = PlainResponse(beast_http::status::service_unavailable, text);
+  response.set(beast_http::field::retry_after, kRetryAfterSeconds);
+  return response;
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(Owner& owner, runtime::Descriptors& descriptors,
@@ -108,6 +114,12 @@
          PlainResponse(beast_http::status::gateway_timeout, "no answer before the end of the process"));
 }
 
+void ClientConnection::RefuseRequest() {
+  if (closed_ || phase_ != Phase::kReading || !reader_.started()) return;
+  Reject(Rejection::kProcessEnds, reader_.in_body() ? "body" : "head",
+         RefusedResponse("refused: the process ends, trying again is harmless"));
+}
+
 void ClientConnection::CloseIfOverdue(runtime::TimePoint now) {
   if (closed_ || !IsOverdue(now)) return;
   if (phase_ != Phase::kReading && phase_ != Phase::kServing) {
@@ -447,10 +459,7 @@
 }
 
 void ClientConnection::RejectForMemory() {
-  auto response = PlainResponse(beast_http::status::service_unavailable,
-                                "refused: memory is short, trying again is harmless");
-  response.set(beast_http::field::retry_after, kRetryAfterSeconds);
-  Reject(Rejection::kMemory, "budget", std::move(response));
+  Reject(Rejection::kMemory, "budget", RefusedResponse("refused: memory is short, trying again is harmless"));
 }
 
 void ClientConnection::Reject(Rejection rejection, std::string_view detail, HttpResponse response) {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -80,6 +80,8 @@
   // The process is about to be killed: fails the request that is being served, if there is one, so that its
   // client gets a final answer.
   void FailRequest();
+  // The same for a request of which only a part has arrived. It had no effect.
+  void RefuseRequest();
   // Closes without waiting any longer for the client's close.
   void CloseNow(CloseReason reason);
   // Tells the handler of the current request if its client may have been waiting for the whole time that it
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -189,6 +189,8 @@
     case StopStep::kHalfClose:
       if (!connection.HasUnreadBytes()) connection.HalfClose();
       return;
+    case StopStep::kRefuse:
+      return connection.RefuseRequest();
     case StopStep::kFail:
       return connection.FailRequest();
     case StopStep::kClose:
--- a/src/http/planned_stop.cpp
+++ b/src/http/planned_stop.cpp
@@ -39,9 +39,10 @@
       return now < new_until_ ? StopStep::kNone : StopStep::kHalfClose;
     case ConnectionState::kIdle:
       return StopStep::kHalfClose;
+    case ConnectionState::kArriving:
+      return now < last_answers_ ? StopStep::kNone : StopStep::kRefuse;
     case ConnectionState::kServing:
       return now < last_answers_ ? StopStep::kNone : StopStep::kFail;
-    case ConnectionState::kArriving:
     case ConnectionState::kResponding:
       return StopStep::kNone;
     case ConnectionState::kAwaitingClose:
--- a/src/http/planned_stop.h
+++ b/src/http/planned_stop.h
@@ -27,6 +27,7 @@
 enum class StopStep {
   kNone,       // waits for the connection to get on by itself
   kHalfClose,  // ends the connection, unless bytes of a request are unread
+  kRefuse,     // answers that the request had no effect, as no handler has it
   kFail,       // answers that the request has failed
   kClose,      // closes without waiting any longer for the client's close
 };
--- a/tests/http/listener_drain_test.cpp
+++ b/tests/http/listener_drain_test.cpp
@@ -294,6 +294,46 @@
   EXPECT_EQ(drains_ended, 1);
 }
 
+// Guards against this failure: a request of which a part had been read kept the process until SIGKILL, which
+// reset its connection; its last byte might have been written by then.
+TEST_P(PlannedStopEnd, ARequestThatIsStillArrivingThenIsRefusedBeforeTheKill) {
+  const std::string body = PostOfLength(60'000, 60'000);
+  // Each silence and the whole of a head must last less than the limits of the phase.
+  const bool short_stop = answers_at < milliseconds(2400);
+  for (const bool reuses : {false, true}) {
+    const auto begin = [&](const std::string& name, const std::string& text, std::size_t cut) {
+      senders.push_back({name, &Begin({name, text, cut, kill_at, reuses})});
+    };
+    begin("slow body", body, 1000);
+    if (!short_stop) continue;
+    begin("slow head", body, 5);
+    begin("silence in the body", body, 20'000);
+    begin("waits for 100 (Continue)", Post("Content-Length: 5\r\nExpect: 100-continue\r\n", ""),
+          std::string::npos);
+  }
+  forwarded.clear();
+  BeginDrain();
+  const auto write_bodies = [&] {
+    for (const Sender& sender : senders) {
+      if (sender.name == "slow body") SendAll(*sender.client, std::string(1000, 'x'));
+    }
+  };
+  for (milliseconds at{}; at + milliseconds(100) < answers_at; at += milliseconds(100)) {
+    write_bodies();
+    AdvanceTime(milliseconds(100), milliseconds(10));
+  }
+  for (const Sender& sender : senders) {
+    EXPECT_EQ(Receive(*sender.client).find(" 503 "), std::string::npos) << sender.name << ": too early";
+  }
+  AdvanceTime(milliseconds(120), milliseconds(10));
+  ExpectAnswers(" 503 ");
+  write_bodies();
+  AdvanceTime(kill_at - answers_at - milliseconds(30), milliseconds(10));
+  for (const Sender& sender : senders) EXPECT_TRUE(Ends(*sender.client)) << sender.name;
+  EXPECT_EQ(drains_ended, 1);
+  EXPECT_TRUE(forwarded.empty());
+}
+
 TEST_F(ListenerTest, ADrainDuringASweepEndsOnce) {
   listener->PauseAccepting();
   // Both the sweep and the handler below are due, and the handler, which starts the drain, runs first.
--- a/tests/http/planned_stop_test.cpp
+++ b/tests/http/planned_stop_test.cpp
@@ -28,10 +28,8 @@
 };
 
 const std::map<std::string, StopStep> kSteps = {
-    {"wait", StopStep::kNone},
-    {"half-close", StopStep::kHalfClose},
-    {"504", StopStep::kFail},
-    {"close", StopStep::kClose},
+    {"wait", StopStep::kNone}, {"half-close", StopStep::kHalfClose}, {"503", StopStep::kRefuse},
+    {"504", StopStep::kFail},  {"close", StopStep::kClose},
 };
 
 // SIGKILL follows SIGTERM after this at the earliest.
