Soak: clients whose request is half written when the sidecar is told to end

The soak never met requests that were lost in a planned stop: its clients wrote requests at once or within half a second, with deadlines of up to 2.5 s, so that all was over 0.5 s before the last moment.

Now twelve clients of a seed write the beginning just before SIGTERM and the rest 0.1 to 2 s later, all three classes, half of them to an upstream that never answers. They draw from random numbers of their own, so that the other draws of a seed stay as they were. Reading an answer and entering it in the books is one function of both kinds of client.

--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -3,6 +3,8 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <latch>
+#include <memory>
 #include <utility>
 
 namespace mothrack::soak {
@@ -10,6 +12,9 @@
 
 // How long a client waits beyond its time before it counts a request as lost.
 constexpr std::chrono::seconds kLostAfter{5};
+// A slow writer takes this long from its first byte to its last at most; the deployment's clients may take 2
+// s for a head.
+constexpr Milliseconds kMaxSlowWrite{2000};
 // The deployment ends a client that stops in a request within 3 s.
 constexpr Milliseconds kBadClientLimit{3000};
 
@@ -128,6 +133,24 @@
   return draw.defect == RequestDefect::kBytesBehind ? text + kBytesBehind : text;
 }
 
+// Reads the answer to a request and enters it in the books. `may_close`: the sidecar may close the connection
+// without an answer. Returns whether the connection can be used further.
+bool RecordAnswer(Books& books, Connection& connection, const RequestDraw& draw, const std::string& id,
+                  bool may_close) {
+  ResponseParser parser;
+  // A long answer's time is that of its head; its body may take as long as its upstream needs.
+  auto response = parser.Read(connection, Clock::now() + draw.timeout + kLostAfter + std::chrono::seconds(8));
+  Result& result = response.result;
+  if (result.kind == Result::Kind::kIdleClose && !may_close) result.kind = Result::Kind::kNoAnswer;
+  const bool served = result.status == 200;
+  const std::string expected = served ? BodyOf(id, draw.plan.size) : "";
+  if (served && result.kind == Result::Kind::kAnswered) result.body_matches = response.body == expected;
+  if (served && result.kind == Result::Kind::kTruncated)
+    result.body_matches = expected.starts_with(response.body);
+  books.OnResult(id, result);
+  return response.keeps_connection;
+}
+
 }  // namespace
 
 void Clients::Start(int usual, int leaving) {
@@ -200,19 +223,8 @@
   }
   // A client that is answered before it has sent everything reads what there is.
   books_.OnSent(id, draw.effect, draw.plan, draw.timeout);
-  ResponseParser parser;
-  // A long answer's time is that of its head; its body may take as long as its upstream needs.
-  auto response = parser.Read(connection, Clock::now() + draw.timeout + kLostAfter + std::chrono::seconds(8));
-  Result& result = response.result;
-  const bool closed_between = result.kind == Result::Kind::kIdleClose && (reused || !written);
-  if (result.kind == Result::Kind::kIdleClose && !closed_between) result.kind = Result::Kind::kNoAnswer;
-  const bool served = result.status == 200;
-  const std::string expected = served ? BodyOf(id, draw.plan.size) : "";
-  if (served && result.kind == Result::Kind::kAnswered) result.body_matches = response.body == expected;
-  if (served && result.kind == Result::Kind::kTruncated)
-    result.body_matches = expected.starts_with(response.body);
-  books_.OnResult(id, result);
-  return response.keeps_connection && written && sound;
+  const bool keeps_connection = RecordAnswer(books_, connection, draw, id, reused || !written);
+  return keeps_connection && written && sound;
 }
 
 void Clients::RunLeaving(int number) {
@@ -328,4 +340,35 @@
   }
 }
 
+void Clients::StartSlowWriters(int clients) {
+  const auto begun = std::make_shared<std::latch>(clients);
+  for (int i = 0; i < clients; ++i) {
+    threads_.emplace_back([this, i, begun] { RunSlowWriter(i, [&] { begun->count_down(); }); });
+  }
+  begun->wait();
+}
+
+void Clients::RunSlowWriter(int number, const std::function<void()>& on_begun) {
+  Random random(seed_ * 1000 + 700 + static_cast<std::uint64_t>(number));
+  const std::string id = "s" + std::to_string(seed_) + "w" + std::to_string(number);
+  RequestDraw draw;
+  draw.effect = static_cast<Effect>(Below(random, 3));
+  draw.timeout = Milliseconds(Between(random, 1500, 3000));
+  draw.plan.size = Between(random, 10, 4000);
+  if (Below(random, 2) == 0) draw.plan.answer = Plan::Answer::kNone;
+  if (draw.effect != Effect::kSafe) draw.body.assign(Between(random, 1, 2000), 'b');
+  const std::string text = HeadOf(draw, id) + BodyTextOf(draw);
+  const std::size_t cut = 1 + Below(random, text.size() - 1);
+  const Milliseconds pause(Between(random, 100, static_cast<std::uint64_t>(kMaxSlowWrite.count())));
+  Connection connection = Connection::To(port_);
+  const TimePoint deadline = Clock::now() + kLostAfter;
+  bool written = connection.is_open() && connection.Send(text.substr(0, cut), deadline);
+  on_begun();
+  std::this_thread::sleep_for(pause);
+  written = written && connection.Send(text.substr(cut), deadline);
+  if (!written) return;
+  books_.OnSent(id, draw.effect, draw.plan, draw.timeout);
+  RecordAnswer(books_, connection, draw, id, false);
+}
+
 }  // namespace mothrack::soak
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <string>
 #include <thread>
@@ -30,6 +31,9 @@
   void StartCrowd(int connections);
   // One client that sends small or unsound requests at full speed, under ever new names.
   void StartFlood();
+  // This many clients with one request each, half of them to an upstream that never answers. They write the
+  // beginning now and the last byte up to 2 s later. Returns once the beginnings are written.
+  void StartSlowWriters(int clients);
   // Waits until all clients have ended; each ends what it has begun.
   void Stop();
 
@@ -40,6 +44,7 @@
   void RunLeaving(int number);
   void RunCrowd(int connections);
   void RunFlood();
+  void RunSlowWriter(int number, const std::function<void()>& on_begun);
   // Sends one request and waits for its end. Returns whether the connection can be used further.
   bool Exchange(Connection& connection, bool reused, Random& random, const std::string& id);
   bool WriteRequest(Connection& connection, Random& random, const std::string& text, const std::string& body);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -35,6 +35,8 @@
 constexpr int kUsualClients = 16;
 constexpr int kLeavingClients = 2;
 constexpr int kCrowd = 150;
+// Clients whose request is half written when the sidecar is told to end.
+constexpr int kSlowWriters = 12;
 
 // Measures how long this process is held up, because that delays clients and upstreams as well.
 class StallMeter {
@@ -91,6 +93,7 @@
     }
     const std::size_t resident = ResidentKilobytes(node);
     if (!IsAlive(node)) books_.AddViolation(Rule::kProcess, "ended by itself: " + node.log());
+    if (IsAlive(node)) clients.StartSlowWriters(kSlowWriters);
     End(node);
     clients.Stop();
     return Report(resident, processor_time.BySecond(), node);
