Tests: a sidecar that a test starts inherits no sockets of the test's peers

What was seen: Hedging/SlowAnswers.EndAsTheTableOfPhasesSays/Off failed once in the review, always in the same row: a keyed request, 5 kB ended by the close of the upstream's connection, 503 where the whole answer is expected.

Cause, of the test: it starts a sidecar for each row at the same time, by fork and execve in one process whose accepted sockets are not closed on exec. A sidecar of another row then held the upstream's socket, so the upstream's close sent no FIN and the answer had no end until the client's time was over.

Evidence: eight copies side by side, six plays each: 28 of 48 failed. With the sidecar's log in a trial: each failure 1973 ms after the request, "outcome =timeout cause=silent", only in this row, the one answer that is buffered and ended by the close.

Change: the child marks all descriptors above standard error close-on-exec before execve. No check, bound or row is changed.

--- a/tests/standins/node.cpp
+++ b/tests/standins/node.cpp
@@ -1,4 +1,5 @@
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -113,6 +114,9 @@
   pid_ = ::fork();
   if (pid_ == 0) {
     ::dup2(ends[1], 2);
+    // The sockets of this process's peers: while the sidecar held one, its close would not reach the other
+    // side.
+    ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     ::execve(argv[0], argv.data(), envp.data());
     ::_exit(127);
   }
