The log tells an upstream that stopped from one that is silent and a client that left

The first is also what an upstream leaves that never began to answer, the second also what a client leaves that is gone, so the two lines can't tell an upstream that stopped from a client that does not read.

Change: cause=stalled where the upstream stopped in the middle of its answer, or of reading a request body; reason=response_broke where the connection is closed because the answer broke off at its upstream. Test: BulkResponse.ATruncatedOneIsForwardedAsTruncatedAndCountsAsFailed expects reason=response_broke; the former code logs write_failed there.

--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -157,6 +157,7 @@
   void OnWriteProgress() override { since_ = runtime::Now(); }
   void OnResponseWritten() override;
   void OnWriteFailed() override { Close(CloseReason::kWriteFailed); }
+  void OnBodyTruncated() override { Close(CloseReason::kResponseBroke); }
   std::shared_ptr<ResponseWriter> shared_writer() override { return {shared_from_this(), &writer_}; }
 
   // Whether all responses are written and only the client's close is awaited.
--- a/src/http/client_log.cpp
+++ b/src/http/client_log.cpp
@@ -30,6 +30,8 @@
       return "overdue";
     case CloseReason::kWriteFailed:
       return "write_failed";
+    case CloseReason::kResponseBroke:
+      return "response_broke";
     case CloseReason::kEvicted:
       return "evicted";
     case CloseReason::kUnsound:
--- a/src/http/client_log.h
+++ b/src/http/client_log.h
@@ -33,7 +33,8 @@
   kAnswered,     // the last response is written, and the client has had time to read it
   kIdle,         // the client sent nothing in time
   kOverdue,      // the client did not read its response in time
-  kWriteFailed,  // the response could not be written to its end
+  kWriteFailed,  // the client's side of the connection failed while the response was written
+  kResponseBroke,  // the response that was being passed on broke off at its upstream
   kEvicted,      // its descriptor was needed
   kUnsound,      // its request can't be read any further
   kUnread,       // too many bytes followed the last response
--- a/src/http/exchange_failure.cpp
+++ b/src/http/exchange_failure.cpp
@@ -18,6 +18,8 @@
       return "closed_unanswered";
     case ExchangeFailure::kSilent:
       return "silent";
+    case ExchangeFailure::kStalled:
+      return "stalled";
     case ExchangeFailure::kEarlyAnswer:
       return "early_answer";
     case ExchangeFailure::kMemory:
--- a/src/http/exchange_failure.h
+++ b/src/http/exchange_failure.h
@@ -14,7 +14,8 @@
   kRequestBroke,      // the client's body broke off
   kConnectionReset,   // reading failed
   kClosedUnanswered,  // the upstream closed the connection without a byte of an answer
-  kSilent,            // no answer, or no further byte of it, in time
+  kSilent,            // no head of an answer in time
+  kStalled,           // an answer, or the reading of a request body, stopped in the middle
   kEarlyAnswer,       // a 200 before the whole request was written
   kMemory,            // the response's memory can't be reserved
   kStatus,            // a complete answer other than 200
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -72,7 +72,7 @@
       return Finish();
     case BodyWriter::Progress::kTruncated:
       if (body_writer_->framing() == BodyWriter::Framing::kConnection) ResetOnClose();
-      [[fallthrough]];
+      return owner_.OnBodyTruncated();
     case BodyWriter::Progress::kFailed:
       return owner_.OnWriteFailed();
   }
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -26,8 +26,10 @@
     virtual void OnWriteProgress() = 0;
     // The kernel has accepted the whole response.
     virtual void OnResponseWritten() = 0;
-    // The response cannot be completed; the connection must be closed.
+    // Writing failed; the connection must be closed.
     virtual void OnWriteFailed() = 0;
+    // The streamed body broke off; the connection must be closed.
+    virtual void OnBodyTruncated() = 0;
     // Keeps the owner, and this writer with it, alive until the pending handlers have run.
     virtual std::shared_ptr<ResponseWriter> shared_writer() = 0;
 
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -303,7 +303,7 @@
 void UpstreamExchange::OnBufferingTimeout() {
   if (!ShouldStream()) {
     const auto next_check = deadlines_.NextCheck(runtime::Now());
-    if (!next_check) return End(ExchangeEnd::kTimeout, ExchangeFailure::kSilent);
+    if (!next_check) return End(ExchangeEnd::kTimeout, ExchangeFailure::kStalled);
     return ArmTimer(*next_check);
   }
   const auto self = shared_from_this();
@@ -473,7 +473,8 @@
   // The timer may have fired just before it was re-armed.
   if (timer_.expiry() > std::chrono::steady_clock::now()) return;
   if (deadlines_.buffering()) return OnBufferingTimeout();
-  End(ExchangeEnd::kTimeout, ExchangeFailure::kSilent);
+  const bool stalled = response_stream_ != nullptr || request_arriving_;
+  End(ExchangeEnd::kTimeout, stalled ? ExchangeFailure::kStalled : ExchangeFailure::kSilent);
 }
 
 }  // namespace mothrack::http
--- a/tests/http/bulk_test.cpp
+++ b/tests/http/bulk_test.cpp
@@ -130,6 +130,8 @@
   }
   EXPECT_TRUE(Eventually([&] { return PageCounters(node)["errored"] == 2; }));
   EXPECT_EQ(upstream.requests().size(), 2U);  // no retry: the client has part of the response
+  const auto is_logged = [&] { return node.log().find("reason=response_broke") != std::string::npos; };
+  EXPECT_TRUE(Eventually(is_logged)) << node.log();
 }
 
 TEST(BulkResponse, ThirtySlowReadersStayWithinTheMemoryLimitAndOthersAreServed) {
