A client that waits for its upstream is not closed as one that does not read

What callers saw: a client that had read all there was of a long answer was closed after 30 s in which its upstream had sent nothing that could be passed on. By reading, not run: on the limit of 15 s for the upstream hides this unless pauses are broken by bytes that are not passed on, as of the size of a chunk.

Cause: since() moved on only with bytes written or when a call of the writer found none to write, and IsOverdue() compared it with 30 s whether or not anything was waiting for the client. So the limit of a client that does not read counted the silence of the upstream, and a client that became full late had only the rest.

Evidence: ConnectionPhases.AClientIsNotOverdueWhileThereIsNothingToWrite on the former code: closed "while the upstream was silent" (run of the former response_writer and client_connection, 1 of 1).

Change: StallDeadline, a pure value with its table: it counts from the moment in which the other side is awaited and from every byte that moves, and not while nothing is awaited. The response's writer keeps one for its client. Two constants were named kWriteIdleTimeout; this one is gone.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -29,10 +29,6 @@
 constexpr std::size_t kResponseHeadCopies = 2;
 // For a client whose request is refused.
 constexpr const char* kRetryAfterSeconds = "1";
-// The time after which a response that cannot be written further ends the connection. It is long because the
-// kernel's send buffer may hold much of the response, and the socket becomes writable only after the client
-// has read much of that.
-constexpr runtime::Duration kWriteIdleTimeout = std::chrono::seconds(30);
 // A connection younger than this that has sent nothing is assumed to be about to send a request.
 constexpr runtime::Duration kNewConnectionAge = std::chrono::milliseconds(300);
 
@@ -140,7 +136,7 @@
     case Phase::kServing:
       return upload_ && body_deadline_.Overdue(now);
     case Phase::kWriting:
-      return now - since_ > (writer_.streaming() ? kWriteIdleTimeout : kRequestTimeout);
+      return writer_.streaming() ? writer_.ClientStalls(now) : now - since_ > kRequestTimeout;
     case Phase::kLingering:
       return upload_interrupted_ ? body_deadline_.Overdue(now) : now - since_ > kLingerTimeout;
     case Phase::kHalfClosed:
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -154,7 +154,6 @@
   void Respond(HttpResponse response, StreamedBody streamed_body = {});
 
   // ResponseWriter::Owner
-  void OnWriteProgress() override { since_ = runtime::Now(); }
   void OnResponseWritten() override;
   void OnWriteFailed() override { Close(CloseReason::kWriteFailed); }
   void OnBodyTruncated() override { Close(CloseReason::kResponseBroke); }
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -59,8 +59,8 @@
   const auto progress = body_writer_->Write(socket_);
   pumping_ = false;
   if (!socket_.is_open()) return;
-  if (body_writer_->written() > written_before || progress == BodyWriter::Progress::kNoBytes) {
-    owner_.OnWriteProgress();
+  if (body_writer_->written() > written_before || progress != BodyWriter::Progress::kSocketFull) {
+    stall_deadline_.Suspend();
   }
   switch (progress) {
     case BodyWriter::Progress::kNoBytes:
@@ -80,6 +80,7 @@
 
 void ResponseWriter::WaitUntilWritable() {
   waiting_until_writable_ = true;
+  stall_deadline_.Await(runtime::Now());
   socket_.async_wait(tcp::socket::wait_write, [self = owner_.shared_writer()](error_code error) {
     self->waiting_until_writable_ = false;
     if (!self->socket_.is_open()) return;
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -13,6 +13,8 @@
 
 #include "http/body_writer.h"
 #include "http/messages.h"
+#include "http/stall_deadline.h"
+#include "runtime/clock.h"
 #include "runtime/write_stream.h"
 
 namespace mothrack::http {
@@ -22,8 +24,6 @@
   // Receives the notifications. Must outlive the writer.
   class Owner {
    public:
-    // The client read some bytes, or there were none to write, so the client is not stalling.
-    virtual void OnWriteProgress() = 0;
     // The kernel has accepted the whole response.
     virtual void OnResponseWritten() = 0;
     // Writing failed; the connection must be closed.
@@ -50,6 +50,9 @@
 
   // Whether the body of the current response is streamed.
   bool streaming() const { return body_writer_.has_value(); }
+  // Whether the client has taken nothing of a streamed response for too long. Time in which there is nothing
+  // to write does not count.
+  bool ClientStalls(runtime::TimePoint now) const { return stall_deadline_.Overdue(now); }
   // Tells the producer of a streamed body that the rest of it will not be read. Must be called after the
   // socket was closed.
   void AbandonBody();
@@ -67,6 +70,7 @@
   runtime::WriteStream<boost::asio::ip::tcp::socket> write_stream_;
   HttpResponse response_;
   std::optional<BodyWriter> body_writer_;
+  StallDeadline stall_deadline_;  // of the client that reads a streamed response
   bool pumping_ = false;
   bool waiting_until_writable_ = false;
 };
