--- a/src/http/response_deadlines.cpp
+++ b/src/http/response_deadlines.cpp
@@ -21,8 +21,9 @@
 void ResponseDeadlines::Begin(const dispatch::AttemptTimeouts& timeouts, runtime::TimePoint now) {
   started_at_ = now;
   begin_by_ = now + timeouts.until_begun;
+  client_deadline_ = now + timeouts.until_deadline;
   const runtime::Duration margin = std::min(kForwardMargin, timeouts.until_deadline / 4);
-  forward_at_ = now + timeouts.until_deadline - margin;
+  forward_at_ = client_deadline_ - margin;
   give_up_at_ = forward_at_ + margin / 2;
 }
 
--- a/src/http/response_deadlines.h
+++ b/src/http/response_deadlines.h
@@ -20,6 +20,8 @@
   runtime::TimePoint started_at() const { return started_at_; }
   // Until when the response has to begin.
   runtime::TimePoint begin_by() const { return begin_by_; }
+  // Until when the client waits.
+  runtime::TimePoint client_deadline() const { return client_deadline_; }
 
   // The head of a 200 has arrived and its body is buffered. A response of known length is buffered for as
   // long as the client's time allows. One of unknown length may be long, so it is streamed earlier: once no
@@ -46,6 +48,7 @@
 
   runtime::TimePoint started_at_;
   runtime::TimePoint begin_by_;
+  runtime::TimePoint client_deadline_;
   // Of a response that has begun: when it is streamed although it is short, and when it is given up instead.
   runtime::TimePoint forward_at_;
   runtime::TimePoint give_up_at_;
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -22,10 +22,8 @@
 
 // Maximum number of interim (1xx) responses before the final one. A well-behaved upstream does not send more.
 constexpr int kMaxInterimResponses = 8;
-// An upstream has failed if it does not read a streamed request body, or pauses in a streamed response, for
-// this long.
+// An upstream has failed if it does not read a streamed request body for this long.
 constexpr runtime::Duration kWriteIdleTimeout = seconds(5);
-constexpr runtime::Duration kResponseIdleTimeout = seconds(15);
 // How many copies of a response's head there are: the parser's, the client's response, and its text.
 constexpr std::size_t kResponseHeadCopies = 3;
 // How much of what follows a response is looked at: more than the beginning of a status line.
@@ -288,11 +286,11 @@
   const std::size_t capacity = response_stream_->Capacity();
   // The client reads slowly; its pause does not count against the upstream.
   if (capacity == 0) {
-    DisarmTimer();
+    SuspendTransfer();
     return false;
   }
   reader_->set_body_capacity(capacity);
-  ArmTimer(runtime::Now() + kResponseIdleTimeout);
+  AwaitTransfer();
   return true;
 }
 
@@ -310,7 +308,8 @@
   if (StartStreaming()) PrepareStreamCapacity();
 }
 
-// A long response is streamed. From here on there is no deadline, but the upstream must not pause for long.
+// A long response is streamed. From here on only a long pause of the upstream ends it, and not before its
+// client's deadline.
 bool UpstreamExchange::StartStreaming() {
   if (!hooks_.on_started) {
     EndUnsound(MessageDefect::kBodyTooLarge);
@@ -328,6 +327,7 @@
   response_stream_->on_capacity = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->Resume();
   };
+  stall_deadline_ = StallDeadline(deadlines_.client_deadline());
   DisarmTimer();
   streaming_ = true;
   const bool was_processing = std::exchange(processing_, true);
@@ -458,6 +458,16 @@
 
 // ---- Timer ----
 
+void UpstreamExchange::AwaitTransfer() {
+  stall_deadline_.Restart(runtime::Now());
+  ArmTimer(*stall_deadline_.due());
+}
+
+void UpstreamExchange::SuspendTransfer() {
+  stall_deadline_.Suspend();
+  DisarmTimer();
+}
+
 // Setting the expiry also voids a timer event that has fired but was not handled yet.
 void UpstreamExchange::DisarmTimer() { timer_.expires_at(std::chrono::steady_clock::time_point::max()); }
 
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -26,6 +26,7 @@
 #include "http/request_writer.h"
 #include "http/response_deadlines.h"
 #include "http/response_reader.h"
+#include "http/stall_deadline.h"
 #include "http/upstream_connection.h"
 #include "runtime/clock.h"
 #include "runtime/stream.h"
@@ -130,6 +131,9 @@
   void ReleaseRequestBody();
   void ReleaseConnection();
 
+  // The upstream is to move a streamed body on; it is given up if it does not.
+  void AwaitTransfer();
+  void SuspendTransfer();
   void ArmTimer(runtime::TimePoint at);
   void DisarmTimer();
   void OnTimer();
@@ -161,6 +165,7 @@
   bool processing_ = false;        // guards Process() against re-entry
   std::optional<runtime::Duration> answer_time_;  // from the start of the time limits to the head of a 200
   ResponseDeadlines deadlines_;                   // see Request::timeouts
+  StallDeadline stall_deadline_;  // of the body, of the request or of the response, that is being streamed
 };
 
 }  // namespace mothrack::http
--- a/tests/http/slow_transfers_test.cpp
+++ b/tests/http/slow_transfers_test.cpp
@@ -1,5 +1,6 @@
 // Plays the tables of docs/design/connection_limits.md on slow answers and slow uploads with real processes:
 // what a client gets, and when, while its upstream writes or reads slowly.
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -7,6 +8,7 @@
 #include <functional>
 #include <future>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -201,6 +203,96 @@
 INSTANTIATE_TEST_SUITE_P(Hedging, SlowAnswers, ::testing::Bool(),
                          [](const auto& info) { return info.param ? "On" : "Off"; });
 
+// ---- Upstreams that hang in the middle of their answers ----
+
+// Of the upstreams, about 18% hang: they take requests, write a part of each answer, and go on later.
+class HangingFleet {
+ public:
+  static constexpr int kUpstreams = 11;
+  static constexpr int kHanging = 2;
+  static constexpr std::size_t kBodySize = 400 * kKilobyte;
+  static constexpr std::size_t kBeforeHang = 130 * kKilobyte;
+
+  HangingFleet() : body_(Pattern(kBodySize)) {
+    for (int i = 0; i < kUpstreams; ++i) {
+      upstreams_.push_back(
+          std::make_unique<Upstream>([this, hangs = i < kHanging](Wire& wire, const Request& request, int) {
+            if (request.target().starts_with("/page/short")) return (void)wire.Answer(200, "short");
+            const Framing framing = FramingOf(std::string(request["X-Request-ID"]));
+            WriteThroughHang(wire, framing, hangs);
+          }));
+    }
+  }
+  ~HangingFleet() { GoOn(); }
+
+  std::vector<std::string> addresses() const {
+    std::vector<std::string> addresses;
+    for (const auto& upstream : upstreams_) addresses.push_back(upstream->address());
+    return addresses;
+  }
+  const std::string& body() const { return body_; }
+  int held() const { return held_; }
+  void GoOn() { goes_on_ = true; }
+
+ private:
+  static Framing FramingOf(const std::string& id) {
+    return static_cast<Framing>(std::stoi(id) % static_cast<int>(kFramings.size()));
+  }
+
+  void WriteThroughHang(Wire& wire, Framing framing, bool hangs) {
+    wire.Write(ResponseHead(framing, body_.size()));
+    wire.Write(Framed(framing, std::string_view(body_).substr(0, kBeforeHang)));
+    if (hangs) {
+      ++held_;
+      while (!goes_on_) std::this_thread::sleep_for(milliseconds(10));
+    }
+    wire.Write(Framed(framing, std::string_view(body_).substr(kBeforeHang)));
+    if (framing == Framing::kChunked) wire.Write("0\r\n\r\n");
+    if (framing == Framing::kClose) wire.socket.close();
+  }
+
+  const std::string body_;
+  std::atomic<int> held_{0};
+  std::atomic<bool> goes_on_{false};
+  std::vector<std::unique_ptr<Upstream>> upstreams_;
+};
+
+// Guards against this failure: answers whose upstream hung in their middle were cut off after 15 s, although
+// it went on later.
+TEST(AnswersThroughAHang, AreWholeAndOtherRequestsAreServedMeanwhile) {
+  constexpr milliseconds kHang{18'000};
+  constexpr int kLongAnswers = 66;
+  constexpr int kShortAnswers = 200;
+  HangingFleet fleet;
+  Node::Options options = OptionsFor(fleet.addresses(), false);
+  options.sockets = 1024;
+  Node node(options);
+  ASSERT_TRUE(node.Listening());
+  std::atomic<int> whole{0};
+  std::vector<std::future<bool>> clients;
+  for (int i = 0; i < kLongAnswers; ++i) {
+    clients.push_back(std::async(std::launch::async, [&, id = std::to_string(i)] {
+      Client client(node.port());
+      client.Send(RequestOf("safe", id, 2000));
+      const auto response = client.Read();
+      const bool is_whole = response && response->result_int() == 200 && response->body() == fleet.body();
+      if (is_whole) ++whole;
+      return is_whole;
+    }));
+  }
+  ASSERT_TRUE(Eventually([&] { return whole + fleet.held() >= kLongAnswers; }));
+  EXPECT_GT(fleet.held(), 0);
+  const auto hang_ends = steady_clock::now() + kHang;
+  Client other(node.port());
+  for (int i = 0; i < kShortAnswers; ++i) {
+    const auto response = other.Get("/page/short" + std::to_string(i), "short" + std::to_string(i));
+    EXPECT_TRUE(response && response->result_int() == 200) << i;
+  }
+  std::this_thread::sleep_until(hang_ends);
+  fleet.GoOn();
+  for (auto& client : clients) EXPECT_TRUE(client.get()) << node.log();
+}
+
 // ---- Uploads ----
 
 // Reads a request's head, and its body at this rate; never more than the head if the rate is 0.
