A long upload waits for an upstream that pauses as long as an answer does

Such a body can't be sent again elsewhere, so giving up early saves nobody any time.

Change: the same StallDeadline while the socket is full. Where the client's last byte may have been written, its own time still ends the request (UploadArrival, unchanged), so nothing is answered late.

Evidence: TransferStalls.AnUploadThatGoesOnIsPassedOnWhole..., simulated clock; with 5 s put back each row of a pause that ends was failed with cause=stalled, with the fix all rows hold, and 31 s of silence still end it.

--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -18,12 +18,9 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 // Maximum number of interim (1xx) responses before the final one. A well-behaved upstream does not send more.
 constexpr int kMaxInterimResponses = 8;
-// An upstream has failed if it does not read a streamed request body for this long.
-constexpr runtime::Duration kWriteIdleTimeout = seconds(5);
 // How many copies of a response's head there are: the parser's, the client's response, and its text.
 constexpr std::size_t kResponseHeadCopies = 3;
 // How much of what follows a response is looked at: more than the beginning of a status line.
@@ -97,11 +94,11 @@
 
 // The time that the client needs to send its body does not count against the upstream.
 void UpstreamExchange::OnBodyAwaited() {
-  if (request_arriving_) DisarmTimer();
+  if (request_arriving_) SuspendTransfer();
 }
 
 void UpstreamExchange::OnSocketFull() {
-  if (request_arriving_) ArmTimer(runtime::Now() + kWriteIdleTimeout);
+  if (request_arriving_) AwaitTransfer();
 }
 
 void UpstreamExchange::OnBodyWritten() {
--- a/tests/http/transfer_stalls_test.cpp
+++ b/tests/http/transfer_stalls_test.cpp
@@ -100,6 +100,7 @@
                       *descriptors, *budget);
     transport->Apply("u", {balancer::UpstreamState::kServing, acceptor.local_endpoint(), 0});
     outcome.reset();
+    written = false;
   }
 
   // Passes the last request of the listener on to the upstream, and accepts the connection there.
@@ -108,7 +109,7 @@
     http::HttpRequest message(request.streamed_body ? beast_http::verb::post : beast_http::verb::get, "/p",
                               11);
     dispatch::ExchangeHooks hooks;
-    hooks.on_written = [] {};
+    hooks.on_written = [this] { written = true; };
     hooks.on_started = [&request](std::unique_ptr<dispatch::Reply> reply, runtime::Duration) {
       auto& started = static_cast<http::HttpReply&>(*reply);
       http::HttpResponse response;
@@ -188,6 +189,7 @@
   std::optional<tcp::socket> upstream;
   std::optional<balancer::Outcome> outcome;  // of the exchange
   std::string_view cause;
+  bool written = false;  // the last byte of the request
 };
 
 // Guards against this failure: an answer was cut off 15 s into a pause after which its upstream went on.
@@ -219,6 +221,42 @@
   }
 }
 
+// Guards against this failure: a long upload was failed 5 s into a pause after which its upstream read on.
+TEST_F(TransferStalls, AnUploadThatGoesOnIsPassedOnWholeAndOneThatDoesNotEnds) {
+  for (const auto& row : testing::TableOf(MOTHRACK_CONNECTION_LIMITS_PAGE, "Uploads through a pause")) {
+    SCOPED_TRACE(row.at("framing") + ", " + row.at("silent (s)"));
+    Begin();
+    Client& client = Connect();
+    const std::string body = BodyOfSize(std::stoul(row.at("bytes")));
+    const bool chunked = row.at("framing") == "chunked";
+    const std::string text = chunked ? Post("Transfer-Encoding: chunked\r\n", Chunk(body) + "0\r\n\r\n")
+                                     : PostOfLength(body.size(), 0) + body;
+    consumes_bodies = false;
+    std::size_t sent = SendAll(client, text);
+    Forward(seconds(1));
+    ReadAtUpstream();
+    std::istringstream pauses(row.at("silent (s)"));
+    for (std::string pause; std::getline(pauses, pause, ',');) {
+      sent += SendAll(client, text.substr(sent));
+      ASSERT_LT(sent, text.size());  // otherwise the client's time would run
+      AdvanceTime(seconds(std::stoi(pause)), kStep);
+      if (outcome) break;
+      ReadAtUpstream();
+    }
+    const auto is_written = [&] {
+      sent += SendAll(client, text.substr(sent));
+      ReadAtUpstream();
+      return outcome || written;
+    };
+    ASSERT_TRUE(WaitUntil(is_written));
+    if (!outcome)
+      upstream->send(boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    Settle(client);
+    EXPECT_EQ(Got(client, ""), row.at("the client gets"));
+    EXPECT_EQ(cause, row.at("the client gets") == "whole" ? std::string_view() : "stalled");
+  }
+}
+
 // Nothing is held for ever: the client of an answer that stops sees within the limit that it is not whole,
 // and the upstream's connection is closed.
 TEST_F(TransferStalls, AnAnswerThatStopsForGoodIsGivenUpAtTheLimit) {
