A short answer whose upstream pauses at its client's time fails instead of coming late

What callers saw: of an answer of at most 64 KiB whose upstream hangs in its middle, the client got the head and a part shortly before its time, and the rest when the hang was over, up to 21 s later. An answer of that size has to be whole in its time, or fail in it; more than half a second late it counts as lost.

Change, in ResponseDeadlines: a pause longer than the half second that an answer may be late means that the upstream is not writing; and a streamed answer whose length is known to be short ends at the client's time and that half second, less 50 ms, visibly.

--- a/src/http/response_deadlines.h
+++ b/src/http/response_deadlines.h
@@ -6,9 +6,11 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 #include "dispatch/exchange.h"
+#include "http/stall_deadline.h"
 #include "runtime/clock.h"
 
 namespace mothrack::http {
@@ -20,13 +22,13 @@
   runtime::TimePoint started_at() const { return started_at_; }
   // Until when the response has to begin.
   runtime::TimePoint begin_by() const { return begin_by_; }
-  // Until when the client waits.
-  runtime::TimePoint client_deadline() const { return client_deadline_; }
 
   // The head of a 200 has arrived and its body is buffered. A response of known length is buffered for as
   // long as the client's time allows. One of unknown length may be long, so it is streamed earlier: once no
   // other attempt would be made in its place, and 1 s after its head at the latest.
   void BeginBuffering(bool length_known, runtime::TimePoint now);
+  // `size` bytes of the body are buffered by now.
+  void OnBuffered(std::size_t size, runtime::TimePoint now);
   void EndBuffering() { buffering_.reset(); }
   bool buffering() const { return buffering_.has_value(); }
   // From when on the response is streamed if it is long by then. Only while buffering.
@@ -34,9 +36,13 @@
 
   // Whether a response of which `size` bytes are buffered is streamed from now on. A short one is buffered
   // further: it may be complete in time, or it may break off, and then the request can be retried. When its
-  // client's time is nearly over, it is streamed if its upstream is still writing it, that is, at the minimum
-  // rate of a body or above. Only while buffering.
+  // client's time is nearly over, it is streamed if it came at the minimum rate of a body or above. In either
+  // case its upstream must still be writing it: one that has paused for longer than an answer may be late
+  // would not complete it in time. Only while buffering.
   bool ShouldStream(std::size_t size, runtime::TimePoint now) const;
+  // The limits of a response that is streamed. One of known length that is short has to be whole in time, or
+  // its client has to see that it is not; a long one only has to begin in time. `length`: absent if unknown.
+  StallDeadline WhileStreaming(std::optional<std::uint64_t> length) const;
   // When to call ShouldStream() again; nothing if the response is given up now.
   std::optional<runtime::TimePoint> NextCheck(runtime::TimePoint now) const;
 
@@ -44,6 +50,8 @@
   struct Buffering {
     runtime::TimePoint head_at;
     runtime::TimePoint until;
+    std::size_t size = 0;
+    runtime::TimePoint grown_at;  // when the last bytes came, or the head
   };
 
   runtime::TimePoint started_at_;
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -269,6 +269,7 @@
 // enough.
 bool UpstreamExchange::ForwardBody() {
   if (!response_stream_) {
+    if (deadlines_.buffering()) deadlines_.OnBuffered(reader_->body().size(), runtime::Now());
     const bool streams = deadlines_.buffering() && !reader_->complete() && ShouldStream();
     return !streams || StartStreaming();
   }
@@ -324,7 +325,7 @@
   response_stream_->on_capacity = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->Resume();
   };
-  stall_deadline_ = StallDeadline(deadlines_.client_deadline());
+  stall_deadline_ = deadlines_.WhileStreaming(reader_->content_length());
   DisarmTimer();
   streaming_ = true;
   const bool was_processing = std::exchange(processing_, true);
--- a/tests/http/response_deadlines_test.cpp
+++ b/tests/http/response_deadlines_test.cpp
@@ -24,6 +24,7 @@
   milliseconds at;
   std::size_t size;
   bool streams;
+  milliseconds paused{0};  // since the last bytes
 };
 
 TEST(ResponseDeadlines, ShortResponsesAreBufferedUntilTheirClientsTimeIsNearlyOver) {
@@ -35,11 +36,19 @@
       {"short, before the deadline", false, milliseconds(3949), kMinStreamedSize - 1, false},
       {"short, near the deadline, slower than the minimum rate", false, milliseconds(3950), 100, false},
       {"empty, near the deadline", false, milliseconds(3950), 0, false},
+      {"long, unknown length, paused a little", false, milliseconds(1100), kMinStreamedSize, true,
+       milliseconds(500)},
+      {"long, unknown length, paused", false, milliseconds(1100), kMinStreamedSize, false, milliseconds(501)},
+      {"long, known length, near the deadline, paused", true, milliseconds(3950), kMinStreamedSize, false,
+       milliseconds(501)},
+      {"at the minimum rate, near the deadline, paused", false, milliseconds(3950), kMinBodyRate * 4, false,
+       milliseconds(501)},
   };
   for (const Case& each : cases) {
     ResponseDeadlines deadlines;
     deadlines.Begin(kTimeouts, kStart);
     deadlines.BeginBuffering(each.length_known, kStart + kHeadAt);
+    deadlines.OnBuffered(each.size, kStart + each.at - each.paused);
     EXPECT_EQ(deadlines.ShouldStream(each.size, kStart + each.at), each.streams) << each.name;
   }
 }
@@ -53,6 +62,23 @@
   EXPECT_FALSE(deadlines.ShouldStream(at_minimum_rate - 1, kStart + milliseconds(550)));
 }
 
+// A streamed response that is short has to be whole at most half a second late, or fail; a long one goes on
+// as long as its upstream does.
+TEST(ResponseDeadlines, OnlyAShortStreamedResponseHasToBeWholeInTime) {
+  ResponseDeadlines deadlines;
+  deadlines.Begin(kTimeouts, kStart);
+  const auto due = [&](std::optional<std::uint64_t> length, milliseconds last_bytes) {
+    StallDeadline limit = deadlines.WhileStreaming(length);
+    limit.Restart(kStart + last_bytes);
+    return *limit.due() - kStart;
+  };
+  EXPECT_EQ(due(kBufferLimit, milliseconds(3950)), milliseconds(4450));
+  EXPECT_EQ(due(kBufferLimit, milliseconds(4440)), milliseconds(4450));
+  for (const auto length : {std::optional<std::uint64_t>(kBufferLimit + 1), std::optional<std::uint64_t>()}) {
+    EXPECT_EQ(due(length, milliseconds(3950)), milliseconds(3950) + StallDeadline::kMaxSilence);
+  }
+}
+
 TEST(ResponseDeadlines, ResponseIsCheckedTwiceAndThenGivenUp) {
   ResponseDeadlines deadlines;
   deadlines.Begin(kTimeouts, kStart);
--- a/tests/http/transfer_stalls_test.cpp
+++ b/tests/http/transfer_stalls_test.cpp
@@ -221,6 +221,35 @@
   }
 }
 
+// Guards against this failure: a short answer whose upstream hung in its middle was passed on because of what
+// had come before, and became whole long after its client's time.
+TEST_F(TransferStalls, AShortAnswerIsWholeInItsTimeOrFailsInIt) {
+  constexpr milliseconds kPace{50};
+  constexpr std::size_t kPiece = 3000;
+  constexpr milliseconds kMaxLateness{500};
+  for (const auto& row : testing::TableOf(MOTHRACK_CONNECTION_LIMITS_PAGE, "Short answers through a pause")) {
+    SCOPED_TRACE(row.at("framing") + ", " + row.at("stops after") + ", " + row.at("writes"));
+    Begin();
+    const std::string body = BodyOfSize(std::stoul(row.at("bytes")));
+    const auto [text, stop] = AnswerText(row.at("framing"), body, std::stoul(row.at("stops after")));
+    Client& client = Connect();
+    Send(client, Get("/p"));
+    RunUntilIdle();
+    const milliseconds client_waits(std::stoi(row.at("client waits (ms)")));
+    const runtime::TimePoint give_up_at = runtime::Now() + client_waits + kMaxLateness;
+    Forward(client_waits);
+    ReadAtUpstream();
+    const std::size_t piece = row.at("writes") == "steadily" ? kPiece : stop;
+    for (std::size_t at = 0; at < stop; at += piece) {
+      ASSERT_TRUE(WriteAtUpstream(text.substr(at, std::min(piece, stop - at)), client, true));
+      AdvanceTime(kPace, kPace);
+    }
+    AdvanceTime(give_up_at - runtime::Now(), kPace);
+    Settle(client);
+    EXPECT_EQ(Got(client, body) + " in time", row.at("the client gets"));
+  }
+}
+
 // Guards against this failure: a long upload was failed 5 s into a pause after which its upstream read on.
 TEST_F(TransferStalls, AnUploadThatGoesOnIsPassedOnWholeAndOneThatDoesNotEnds) {
   for (const auto& row : testing::TableOf(MOTHRACK_CONNECTION_LIMITS_PAGE, "Uploads through a pause")) {
