Limits of an upstream count what arrived while the process was held up

What callers saw: nothing yet; found on the path of the limits. If the process is held up for longer than what is left of a limit, the timer's handler may run before the one that reads, and ends an attempt, or cuts off an answer, although its bytes lie in the kernel's buffer.

Cause: OnTimer() looked at the clock only. The event loop runs socket handlers before timers within one round, but a round reports at most 128 sockets, and bytes may come between its report and the handlers.

Change: before a limit is applied, what can be read is read, and the limit is looked at again. Evidence: TransferStalls.WhatArrivedWhileTheProcessWasHeldUpCounts, bytes written between epoll_wait() and the handlers, in front of the head, in the head and in a streamed body: 502, 502 and truncated without the line that reads, whole in all three with it.

--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -476,10 +476,17 @@
   });
 }
 
+// Whether a limit is reached. The timer may have fired just before it was re-armed.
+bool UpstreamExchange::IsDue() const {
+  if (connection_->closed() || phase_ == Phase::kEnded) return false;
+  return timer_.expiry() <= std::chrono::steady_clock::now();
+}
+
 void UpstreamExchange::OnTimer() {
-  if (connection_->closed() || phase_ == Phase::kEnded) return;
-  // The timer may have fired just before it was re-armed.
-  if (timer_.expiry() > std::chrono::steady_clock::now()) return;
+  if (!IsDue()) return;
+  // The process may have been held up: what arrived meanwhile is read before a limit is applied.
+  if (awaiting_bytes_) Receive();
+  if (!IsDue()) return;
   if (deadlines_.buffering()) return OnBufferingTimeout();
   const bool stalled = response_stream_ != nullptr || request_arriving_;
   End(ExchangeEnd::kTimeout, stalled ? ExchangeFailure::kStalled : ExchangeFailure::kSilent);
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -136,6 +136,7 @@
   void SuspendTransfer();
   void ArmTimer(runtime::TimePoint at);
   void DisarmTimer();
+  bool IsDue() const;
   void OnTimer();
 
   Owner& owner_;
--- a/tests/http/transfer_stalls_test.cpp
+++ b/tests/http/transfer_stalls_test.cpp
@@ -286,6 +286,30 @@
   }
 }
 
+// Guards against this failure: the process was held up for longer than a limit, and the limit was applied
+// although the answer, or more of it, had arrived meanwhile.
+TEST_F(TransferStalls, WhatArrivedWhileTheProcessWasHeldUpCounts) {
+  const std::string body = BodyOfSize(200000);
+  const std::string text = AnswerText("length", body, 0).first;
+  for (const std::size_t before : {std::size_t{0}, std::size_t{20}, text.size() / 2}) {
+    SCOPED_TRACE(before);
+    Begin();
+    Client& client = Connect();
+    Send(client, Get("/p"));
+    RunUntilIdle();
+    Forward(seconds(1));
+    ReadAtUpstream();
+    ASSERT_TRUE(WriteAtUpstream(text.substr(0, before), client, true) || before == 0);
+    Settle(client);
+    intercepted_calls.after_wake = [&] { upstream->send(boost::asio::buffer(&text[before], 1000)); };
+    JumpTime(http::StallDeadline::kMaxSilence + kStep);
+    Settle(client);
+    WriteAtUpstream(text.substr(before + 1000), client, true);
+    Settle(client);
+    EXPECT_EQ(Got(client, body), "whole");
+  }
+}
+
 // Nothing is held for ever: the client of an answer that stops sees within the limit that it is not whole,
 // and the upstream's connection is closed.
 TEST_F(TransferStalls, AnAnswerThatStopsForGoodIsGivenUpAtTheLimit) {
