A response that ends with its connection is broken off by a reset, whoever ends it

What callers saw: a client of HTTP/1.0 (no chunks, length unknown) that was given up while it did not read, or whose sidecar ended, took the part of its response that it had for the whole: its connection ended with a FIN.

Cause: only an upstream that broke off led to a reset; every other close of the client's connection was a plain one. SIGKILL at the end of a planned stop closes like that too.

Evidence: ConnectionPhases.AResponseThatEndsWithItsConnectionIsBrokenOffByAReset: end of file for the client that does not read and at the stop on the former code, reset in both now; the row in planned_stop_test.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -68,6 +68,7 @@
   if (owner_ != nullptr) {
     owner_->client_log().ConnectionClosed(RequestId(), reason, StateOfRequest(), runtime::Now());
   }
+  writer_.BreakOff();
   error_code ignored;
   socket_.close(ignored);
   slot_.reset();
@@ -155,7 +156,8 @@
     case Phase::kServing:
       return ConnectionState::kServing;
     case Phase::kWriting:
-      return ConnectionState::kResponding;
+      return writer_.ends_with_connection() ? ConnectionState::kRespondingUntilClose
+                                            : ConnectionState::kResponding;
     case Phase::kLingering:
     case Phase::kHalfClosed:
       break;
--- a/src/http/client_log.h
+++ b/src/http/client_log.h
@@ -29,16 +29,16 @@
 
 // Why a client connection is closed.
 enum class CloseReason {
-  kClientLeft,   // the client closed or reset it
-  kAnswered,     // the last response is written, and the client has had time to read it
-  kIdle,         // the client sent nothing in time
-  kOverdue,      // the client did not read its response in time
-  kWriteFailed,  // the client's side of the connection failed while the response was written
+  kClientLeft,     // the client closed or reset it
+  kAnswered,       // the last response is written, and the client has had time to read it
+  kIdle,           // the client sent nothing in time
+  kOverdue,        // the client did not read its response in time
+  kWriteFailed,    // the client's side of the connection failed while the response was written
   kResponseBroke,  // the response that was being passed on broke off at its upstream
-  kEvicted,      // its descriptor was needed
-  kUnsound,      // its request can't be read any further
-  kUnread,       // too many bytes followed the last response
-  kProcessEnds,  // the process ends
+  kEvicted,        // its descriptor was needed
+  kUnsound,        // its request can't be read any further
+  kUnread,         // too many bytes followed the last response
+  kProcessEnds,    // the process ends
 };
 inline constexpr std::size_t kCloseReasons = static_cast<std::size_t>(CloseReason::kProcessEnds) + 1;
 
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -193,6 +193,8 @@
       return connection.RefuseRequest();
     case StopStep::kFail:
       return connection.FailRequest();
+    case StopStep::kBreakOff:
+      return connection.Close(CloseReason::kProcessEnds);
     case StopStep::kClose:
       return connection.CloseNow(CloseReason::kAnswered);
   }
--- a/src/http/planned_stop.cpp
+++ b/src/http/planned_stop.cpp
@@ -45,6 +45,8 @@
       return now < last_answers_ ? StopStep::kNone : StopStep::kFail;
     case ConnectionState::kResponding:
       return StopStep::kNone;
+    case ConnectionState::kRespondingUntilClose:
+      return now < end_ ? StopStep::kNone : StopStep::kBreakOff;
     case ConnectionState::kAwaitingClose:
       return now < end_ ? StopStep::kNone : StopStep::kClose;
   }
--- a/src/http/planned_stop.h
+++ b/src/http/planned_stop.h
@@ -15,12 +15,13 @@
 
 // What a client connection is doing, as far as a stop needs it.
 enum class ConnectionState {
-  kNew,            // connected recently and has sent nothing, so that a request is likely to follow
-  kIdle,           // waits for a request of which no byte has arrived
-  kArriving,       // part of a request has arrived, and no handler has it
-  kServing,        // a handler has the request, whose body may still be arriving
-  kResponding,     // the response is being written
-  kAwaitingClose,  // the last response is written; only the client's close is awaited
+  kNew,                   // connected recently and has sent nothing, so that a request is likely to follow
+  kIdle,                  // waits for a request of which no byte has arrived
+  kArriving,              // part of a request has arrived, and no handler has it
+  kServing,               // a handler has the request, whose body may still be arriving
+  kResponding,            // the response is being written
+  kRespondingUntilClose,  // the same, and only the end of the connection marks its end
+  kAwaitingClose,         // the last response is written; only the client's close is awaited
 };
 
 // What a stop does with a connection.
@@ -29,6 +30,7 @@
   kHalfClose,  // ends the connection, unless bytes of a request are unread
   kRefuse,     // answers that the request had no effect, as no handler has it
   kFail,       // answers that the request has failed
+  kBreakOff,   // resets the connection, so that the client can tell that its response is not whole
   kClose,      // closes without waiting any longer for the client's close
 };
 
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -71,7 +71,6 @@
       body_writer_.reset();
       return Finish();
     case BodyWriter::Progress::kTruncated:
-      if (body_writer_->framing() == BodyWriter::Framing::kConnection) ResetOnClose();
       return owner_.OnBodyTruncated();
     case BodyWriter::Progress::kFailed:
       return owner_.OnWriteFailed();
@@ -99,7 +98,8 @@
 }
 
 // If a response ends with its connection, only an RST tells the client that it is truncated.
-void ResponseWriter::ResetOnClose() {
+void ResponseWriter::BreakOff() {
+  if (!ends_with_connection()) return;
   error_code ignored;
   socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
 }
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -53,6 +53,12 @@
   // Whether the client has taken nothing of a streamed response for too long. Time in which there is nothing
   // to write does not count.
   bool ClientStalls(runtime::TimePoint now) const { return stall_deadline_.Overdue(now); }
+  // Whether only the end of the connection marks the end of the response that is being written.
+  bool ends_with_connection() const {
+    return body_writer_ && body_writer_->framing() == BodyWriter::Framing::kConnection;
+  }
+  // The connection is about to be closed. Makes sure that the client of an incomplete response can tell.
+  void BreakOff();
   // Tells the producer of a streamed body that the rest of it will not be read. Must be called after the
   // socket was closed.
   void AbandonBody();
@@ -63,7 +69,6 @@
   void Pump();
   void WaitUntilWritable();
   void Finish();
-  void ResetOnClose();
 
   boost::asio::ip::tcp::socket& socket_;
   Owner& owner_;
--- a/tests/http/connection_phases_test.cpp
+++ b/tests/http/connection_phases_test.cpp
@@ -1,9 +1,11 @@
 // Tests how long a client connection lasts in each phase once its client has gone silent, row by row of the
 // table in docs/design/connection_limits.md, and that slow but steady clients are served.
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "http/listener_fixture.h"
@@ -70,14 +72,15 @@
     RunUntilIdle();
   }
 
-  void BeginStream(Client& client) {
+  void BeginStream(Client& client, const std::string& version = "1.1") {
     replies_at_once = false;
-    Send(client, Get("/p"));
+    Send(client, "GET /p HTTP/" + version + "\r\nHost: h\r\n\r\n");
     RunUntilIdle();
     const auto stream = std::make_shared<runtime::Stream>(*budget, 0);
     ASSERT_TRUE(stream->BeginConsuming());
     const auto reply = std::exchange(forwarded.back().reply, nullptr);
-    reply(http::HttpResponse(beast_http::status::ok, 11), http::StreamedBody{stream, kLongResponse});
+    const auto length = version == "1.1" ? std::optional<std::uint64_t>(kLongResponse) : std::nullopt;
+    reply(http::HttpResponse(beast_http::status::ok, 11), http::StreamedBody{stream, length});
     streams.push_back(stream);
   }
 
@@ -179,6 +182,25 @@
   EXPECT_EQ(descriptors->used(), 0U) << "not ended in time";
 }
 
+// Guards against this failure: a client of HTTP/1.0 that was given up while it did not read took the part of
+// its response that it had for the whole, because nothing but the end of the connection marks the end.
+TEST_F(ConnectionPhases, AResponseThatEndsWithItsConnectionIsBrokenOffByAReset) {
+  constexpr runtime::Duration kKillAfter = milliseconds(3700);  // as the deployment does with these settings
+  for (const bool stops : {false, true}) {
+    SCOPED_TRACE(stops);
+    Listen(kManyDescriptors);
+    Client& client = Connect(true);
+    BeginStream(client, "1.0");
+    FillStream();
+    if (stops) listener->Drain([this] { ++drains_ended; });
+    AdvanceTime(stops ? kKillAfter : http::StallDeadline::kMaxSilence + 2 * kSweep, milliseconds(10));
+    EXPECT_EQ(descriptors->used(), 0U);
+    EXPECT_TRUE(WaitUntil([&] { return Receive(client), client.end.failed(); }));
+    EXPECT_EQ(client.end, boost::asio::error::connection_reset);
+    streams.clear();
+  }
+}
+
 // Guards against this failure: stalled uploads were never evicted, so new clients were not accepted.
 TEST_F(ConnectionPhases, StalledUploadsFreeTheirDescriptorsForWaitingClients) {
   Listen(kDescriptorsForTwoClients);
--- a/tests/http/planned_stop_test.cpp
+++ b/tests/http/planned_stop_test.cpp
@@ -24,12 +24,13 @@
     {"arriving", ConnectionState::kArriving},
     {"served", ConnectionState::kServing},
     {"answered", ConnectionState::kResponding},
+    {"answered, until the close", ConnectionState::kRespondingUntilClose},
     {"awaits close", ConnectionState::kAwaitingClose},
 };
 
 const std::map<std::string, StopStep> kSteps = {
     {"wait", StopStep::kNone}, {"half-close", StopStep::kHalfClose}, {"503", StopStep::kRefuse},
-    {"504", StopStep::kFail},  {"close", StopStep::kClose},
+    {"504", StopStep::kFail},  {"close", StopStep::kClose},          {"break off", StopStep::kBreakOff},
 };
 
 // SIGKILL follows SIGTERM after this at the earliest.
