--- a/tests/soak/books.cpp
+++ b/tests/soak/books.cpp
@@ -12,9 +12,10 @@
 
 std::string Plan::ToText() const {
   char text[128];
-  std::snprintf(text, sizeof text, "%s%d.%d.%zu.%lld.%lld.%zu", kPlanMark, static_cast<int>(answer),
+  std::snprintf(text, sizeof text, "%s%d.%d.%zu.%lld.%lld.%zu.%lld.%zu", kPlanMark, static_cast<int>(answer),
                 static_cast<int>(framing), size, static_cast<long long>(delay.count()),
-                static_cast<long long>(pause.count()), piece);
+                static_cast<long long>(pause.count()), piece, static_cast<long long>(hang.count()),
+                hang_after);
   return text;
 }
 
@@ -25,16 +26,18 @@
   int framing = 0;
   long long delay = 0;
   long long pause = 0;
+  long long hang = 0;
   Plan plan;
   const char* const text = target.c_str() + at;
-  if (std::sscanf(text, "?plan=%d.%d.%zu.%lld.%lld.%zu", &answer, &framing, &plan.size, &delay, &pause,
-                  &plan.piece) != 6) {
+  if (std::sscanf(text, "?plan=%d.%d.%zu.%lld.%lld.%zu.%lld.%zu", &answer, &framing, &plan.size, &delay,
+                  &pause, &plan.piece, &hang, &plan.hang_after) != 8) {
     return std::nullopt;
   }
   plan.answer = static_cast<Answer>(answer);
   plan.framing = static_cast<Framing>(framing);
   plan.delay = Milliseconds(delay);
   plan.pause = Milliseconds(pause);
+  plan.hang = Milliseconds(hang);
   return plan;
 }
 
@@ -215,9 +218,7 @@
   const bool refused = result.kind == Kind::kAnswered && (result.status == 503 || result.status == 429);
   if (refused && entry.effect == Effect::kUnsafe && entry.runs > 0) return add(Rule::kDuplicate);
   if (!entry.plan.IsSound() || entry.broken || entry.unsound_at) return;
-  const bool by_the_kill = kill_at_ && result.at > *kill_at_ - kLastAnswers;
-  // Of a long answer that was cut off only the time of its head is known.
-  if (by_the_kill || (kill_at_ && result.kind == Kind::kTruncated)) return;
+  if (kill_at_ && result.ended_at > *kill_at_ - kLastAnswers) return;
   // What the client got was decided shortly before its time at the latest.
   const TimePoint decided = std::min(result.at, entry.due) - Milliseconds(100) - held_up_;
   const bool was_substantial = entry.substantial_at && *entry.substantial_at < decided;
--- a/tests/soak/books.h
+++ b/tests/soak/books.h
@@ -51,6 +51,9 @@
   Milliseconds delay{};  // between head and body
   Milliseconds pause{};  // between pieces of the body
   std::size_t piece = 0;
+  // The upstream hangs for this long once it has written so much of the body, and then goes on.
+  Milliseconds hang{};
+  std::size_t hang_after = 0;
 
   bool IsSound() const {
     return answer == Answer::kWhole || answer == Answer::kInterim || answer == Answer::kCopyBehind;
@@ -71,7 +74,8 @@
   Kind kind = Kind::kNoAnswer;
   unsigned status = 0;
   bool body_matches = true;
-  TimePoint at;  // when the answer was complete; for a long 200, when its head had arrived
+  TimePoint at;        // when the answer was complete; for a long 200, when its head had arrived
+  TimePoint ended_at;  // when the last of it had arrived, or it broke off
 };
 
 enum class Rule {
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -34,6 +34,8 @@
   kBytesBehind,       // a length that is too short, or noise behind a GET, in one write
   kBytesBehindLater,  // the same in a second write, before the upstream answers
 };
+// The numbers of clients whose answers hang begin here.
+constexpr int kFirstHeld = 200;
 constexpr std::uint64_t kRequestDefects = 5;  // without kNone
 // An upstream holds the answer to a request that becomes unsound later for this long.
 constexpr Milliseconds kHoldAnswer{150};
@@ -69,6 +71,18 @@
   return plan;
 }
 
+// A long answer whose upstream hangs in its middle for as long as the deployment's may, and then goes on. The
+// part before the hang is too long for an answer that has to be whole in its client's time.
+Plan DrawHangingAnswer(std::mt19937_64& random) {
+  Plan plan;
+  plan.framing = static_cast<Plan::Framing>(Below(random, Plan::kFramings));
+  plan.size = Between(random, 150'000, 800'000);
+  plan.piece = 10'000;
+  plan.hang = Milliseconds(Between(random, 6800, 21'000));
+  plan.hang_after = Between(random, 80'000, plan.size - 1);
+  return plan;
+}
+
 // The answer to it is short and waits, so that nothing of it is passed on before the request is unsound.
 void SpoilRequest(std::mt19937_64& random, RequestDraw& draw) {
   draw.defect = static_cast<RequestDefect>(1 + Below(random, kRequestDefects));
@@ -80,7 +94,7 @@
   if (streams) draw.body.assign(Between(random, 70'000, 300'000), 'b');
 }
 
-RequestDraw DrawRequest(std::mt19937_64& random) {
+RequestDraw DrawRequest(std::mt19937_64& random, bool hangs) {
   RequestDraw draw;
   draw.effect = static_cast<Effect>(Below(random, 3));
   draw.timeout = Milliseconds(Between(random, 400, 2500));
@@ -96,6 +110,9 @@
     draw.body.assign(Between(random, 70'000, 900'000), 'b');
   draw.chunked = Below(random, 2) == 0;
   if (!uploads && Below(random, 8) == 0) SpoilRequest(random, draw);
+  if (hangs && draw.plan.answer == Plan::Answer::kWhole && draw.defect == RequestDefect::kNone) {
+    draw.plan = DrawHangingAnswer(random);
+  }
   return draw;
 }
 
@@ -139,8 +156,10 @@
                   bool may_close) {
   ResponseParser parser;
   // A long answer's time is that of its head; its body may take as long as its upstream needs.
-  auto response = parser.Read(connection, Clock::now() + draw.timeout + kLostAfter + std::chrono::seconds(8));
+  auto response = parser.Read(
+      connection, Clock::now() + draw.timeout + draw.plan.hang + kLostAfter + std::chrono::seconds(8));
   Result& result = response.result;
+  result.ended_at = Clock::now();
   if (result.kind == Result::Kind::kIdleClose && !may_close) result.kind = Result::Kind::kNoAnswer;
   const bool served = result.status == 200;
   const std::string expected = served ? BodyOf(id, draw.plan.size) : "";
@@ -154,10 +173,14 @@
 }  // namespace
 
 void Clients::Start(int usual, int leaving) {
-  for (int i = 0; i < usual; ++i) threads_.emplace_back([this, i] { Run(i); });
+  for (int i = 0; i < usual; ++i) threads_.emplace_back([this, i] { Run(i, false); });
   for (int i = 0; i < leaving; ++i) threads_.emplace_back([this, i] { RunLeaving(i); });
 }
 
+void Clients::StartHeld(int count) {
+  for (int i = 0; i < count; ++i) threads_.emplace_back([this, i] { Run(kFirstHeld + i, true); });
+}
+
 void Clients::StartCrowd(int connections) {
   threads_.emplace_back([this, connections] { RunCrowd(connections); });
 }
@@ -172,7 +195,7 @@
   threads_.clear();
 }
 
-void Clients::Run(int number) {
+void Clients::Run(int number, bool hangs) {
   Random random(seed_ * 1000 + static_cast<std::uint64_t>(number));
   Connection connection;
   bool reused = false;
@@ -185,7 +208,7 @@
     }
     const std::string id =
         "s" + std::to_string(seed_) + "c" + std::to_string(number) + "r" + std::to_string(i);
-    if (!Exchange(connection, reused, random, id)) connection.Close();
+    if (!Exchange(connection, reused, random, id, hangs)) connection.Close();
     reused = true;
     std::this_thread::sleep_for(Milliseconds(Between(random, 0, 40)));
   }
@@ -209,8 +232,9 @@
   return true;
 }
 
-bool Clients::Exchange(Connection& connection, bool reused, Random& random, const std::string& id) {
-  const RequestDraw draw = DrawRequest(random);
+bool Clients::Exchange(Connection& connection, bool reused, Random& random, const std::string& id,
+                       bool hangs) {
+  const RequestDraw draw = DrawRequest(random, hangs);
   const bool sound = draw.defect == RequestDefect::kNone;
   const bool later = draw.defect == RequestDefect::kBytesBehindLater;
   if (!sound && !later) books_.OnUnsound(id);
@@ -232,7 +256,7 @@
   for (int i = 0; !stopping_; ++i) {
     const std::string id =
         "s" + std::to_string(seed_) + "l" + std::to_string(number) + "r" + std::to_string(i);
-    RequestDraw draw = DrawRequest(random);
+    RequestDraw draw = DrawRequest(random, false);
     draw.effect = Effect::kUnsafe;
     if (draw.body.empty()) draw.body = "b";
     std::string text = HeadOf(draw, id) + BodyTextOf(draw);
