--- a/src/http/planned_stop.h
+++ b/src/http/planned_stop.h
@@ -30,7 +30,7 @@
   kHalfClose,  // ends the connection, unless bytes of a request are unread
   kRefuse,     // answers that the request had no effect, as no handler has it
   kFail,       // answers that the request has failed
-  kBreakOff,   // resets the connection, so that the client can tell that its response is not whole
+  kBreakOff,   // resets the connection, so that the client detects that its response is truncated
   kClose,      // closes without waiting any longer for the client's close
 };
 
--- a/src/http/response_deadlines.cpp
+++ b/src/http/response_deadlines.cpp
@@ -15,8 +15,7 @@
 // A response that is still buffered this long before its client's deadline is streamed or given up, so that
 // the client gets its head in time.
 constexpr runtime::Duration kForwardMargin = std::chrono::milliseconds(50);
-// How late an answer may come that earns nothing any more; after that the deployment counts its request as
-// lost (days at full size).
+// A request whose answer is complete later than this after its deadline counts as lost.
 constexpr runtime::Duration kMaxLateness = std::chrono::milliseconds(500);
 
 }  // namespace
--- a/src/http/response_deadlines.h
+++ b/src/http/response_deadlines.h
@@ -40,8 +40,8 @@
   // case its upstream must still be writing it: one that has paused for longer than an answer may be late
   // would not complete it in time. Only while buffering.
   bool ShouldStream(std::size_t size, runtime::TimePoint now) const;
-  // The limits of a response that is streamed. One of known length that is short has to be whole in time, or
-  // its client has to see that it is not; a long one only has to begin in time. `length`: absent if unknown.
+  // The limits of a response that is streamed. A short one of known length has to be complete in time, or
+  // truncated visibly; a long one only has to begin in time. `length`: absent if unknown.
   StallDeadline WhileStreaming(std::optional<std::uint64_t> length) const;
   // When to call ShouldStream() again; nothing if the response is given up now.
   std::optional<runtime::TimePoint> NextCheck(runtime::TimePoint now) const;
--- a/src/http/stall_deadline.h
+++ b/src/http/stall_deadline.h
@@ -1,9 +1,9 @@
-// How long the other side of a transfer that has begun may move nothing before it is given up: an upstream in
-// the middle of a streamed response, or that stops reading a streamed request body, or a client that stops
-// reading a streamed response. The rows are in docs/design/connection_limits.md, "Silence in a transfer".
+// The idle timeout of a transfer that has begun: how long an upstream may pause in the middle of a streamed
+// response or in reading a streamed request body, and a client in reading a streamed response. The tables are
+// in docs/design/connection_limits.md, "Silence in a transfer".
 //
-// Such a message can't be begun anew elsewhere, so giving it up early saves nobody any time. The limit only
-// has to be longer than every pause after which the other side goes on, and has to end what never goes on.
+// Such a message can't be sent again from its start, so an early end saves no time. The timeout has to be
+// longer than each pause after which the other side resumes, and has to end a transfer that never resumes.
 //
 // A plain value without I/O or clock, not bound to a thread; the caller passes in the time, which must not
 // decrease.
@@ -19,32 +19,30 @@
 
 class StallDeadline {
  public:
-  // The longest pause that the deployment states for a server that goes on: "go silent (no reset, no answer)
-  // [...] 9 to 27 s" (brief, incident record; hangs are shorter, 21 s at most).
+  // The longest pause of a server that the deployment's incident record states.
   static constexpr runtime::Duration kLongestPause = std::chrono::seconds(27);
-  // For what lies between the two sides: lost packets are sent again at growing intervals, and this process
-  // may be held up.
+  // Allows for retransmissions, whose intervals grow, and for delays of this process.
   static constexpr runtime::Duration kMargin = std::chrono::seconds(3);
-  static constexpr runtime::Duration kMaxSilence = kLongestPause + kMargin;
+  static constexpr runtime::Duration kMaxPause = kLongestPause + kMargin;
 
-  // The transfer is not given up before `earliest`, and is given up at `latest` even if it moves.
+  // The transfer is not ended before `earliest`, and is ended at `latest` even if it progresses.
   explicit StallDeadline(runtime::TimePoint earliest = runtime::TimePoint::min(),
                          runtime::TimePoint latest = runtime::TimePoint::max())
       : earliest_(earliest), latest_(latest) {}
 
-  // The other side is to move the transfer on. No effect if that is awaited already.
+  // Progress of the other side is awaited. No effect if it is awaited already.
   void Await(runtime::TimePoint now) {
-    if (!silent_since_) silent_since_ = now;
+    if (!paused_since_) paused_since_ = now;
   }
-  // The transfer moved, and the other side is to move it further.
-  void Restart(runtime::TimePoint now) { silent_since_ = now; }
-  // Nothing is awaited from the other side: the sidecar itself has nothing to write, or no room to read.
-  void Suspend() { silent_since_.reset(); }
+  // There was progress, and more is awaited.
+  void Restart(runtime::TimePoint now) { paused_since_ = now; }
+  // No progress is awaited: the sidecar itself has nothing to write, or no capacity to read.
+  void Suspend() { paused_since_.reset(); }
 
-  // When the transfer is given up; absent while nothing is awaited.
+  // When the transfer is ended; absent while no progress is awaited.
   std::optional<runtime::TimePoint> due() const {
-    if (!silent_since_) return std::nullopt;
-    return std::min(std::max(*silent_since_ + kMaxSilence, earliest_), latest_);
+    if (!paused_since_) return std::nullopt;
+    return std::min(std::max(*paused_since_ + kMaxPause, earliest_), latest_);
   }
   bool Overdue(runtime::TimePoint now) const {
     const auto at = due();
@@ -54,7 +52,7 @@
  private:
   runtime::TimePoint earliest_;
   runtime::TimePoint latest_;
-  std::optional<runtime::TimePoint> silent_since_;
+  std::optional<runtime::TimePoint> paused_since_;
 };
 
 }  // namespace mothrack::http
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -131,7 +131,7 @@
   void ReleaseRequestBody();
   void ReleaseConnection();
 
-  // The upstream is to move a streamed body on; it is given up if it does not.
+  // Awaits progress of the upstream in a streamed body, within `stall_deadline_`.
   void AwaitTransfer();
   void SuspendTransfer();
   void ArmTimer(runtime::TimePoint at);
--- a/tests/http/connection_phases_test.cpp
+++ b/tests/http/connection_phases_test.cpp
@@ -163,14 +163,14 @@
 }
 
 // Guards against this failure: a client that had read all there was of its response was closed as one that
-// does not read, because the upstream had been silent for so long.
+// does not read, because the upstream had paused for so long.
 TEST_F(ConnectionPhases, AClientIsNotOverdueWhileThereIsNothingToWrite) {
-  constexpr auto kBelowLimit = http::StallDeadline::kMaxSilence - kSweep;
+  constexpr auto kBelowLimit = http::StallDeadline::kMaxPause - kSweep;
   Client& client = Connect(true);
   BeginStream(client);
   for (int turn = 0; turn < 2; ++turn) {
-    AdvanceTime(2 * http::StallDeadline::kMaxSilence, kSweep);
-    ASSERT_EQ(descriptors->used(), 1U) << "while the upstream was silent";
+    AdvanceTime(2 * http::StallDeadline::kMaxPause, kSweep);
+    ASSERT_EQ(descriptors->used(), 1U) << "while the upstream paused";
     FillStream();
     AdvanceTime(kBelowLimit, kSweep);
     ASSERT_EQ(descriptors->used(), 1U) << "before the client's time was over";
@@ -178,12 +178,12 @@
     ASSERT_TRUE(WaitUntil(until_empty));
   }
   FillStream();
-  AdvanceTime(http::StallDeadline::kMaxSilence + 2 * kSweep, kSweep);
+  AdvanceTime(http::StallDeadline::kMaxPause + 2 * kSweep, kSweep);
   EXPECT_EQ(descriptors->used(), 0U) << "not ended in time";
 }
 
-// Guards against this failure: a client of HTTP/1.0 that was given up while it did not read took the part of
-// its response that it had for the whole, because nothing but the end of the connection marks the end.
+// Guards against this failure: a client of HTTP/1.0 that was closed while it did not read took the part of
+// its response that it had for a complete one, because only the end of the connection marks the end.
 TEST_F(ConnectionPhases, AResponseThatEndsWithItsConnectionIsBrokenOffByAReset) {
   constexpr runtime::Duration kKillAfter = milliseconds(3700);  // as the deployment does with these settings
   for (const bool stops : {false, true}) {
@@ -193,7 +193,7 @@
     BeginStream(client, "1.0");
     FillStream();
     if (stops) listener->Drain([this] { ++drains_ended; });
-    AdvanceTime(stops ? kKillAfter : http::StallDeadline::kMaxSilence + 2 * kSweep, milliseconds(10));
+    AdvanceTime(stops ? kKillAfter : http::StallDeadline::kMaxPause + 2 * kSweep, milliseconds(10));
     EXPECT_EQ(descriptors->used(), 0U);
     EXPECT_TRUE(WaitUntil([&] { return Receive(client), client.end.failed(); }));
     EXPECT_EQ(client.end, boost::asio::error::connection_reset);
--- a/tests/http/response_deadlines_test.cpp
+++ b/tests/http/response_deadlines_test.cpp
@@ -62,8 +62,8 @@
   EXPECT_FALSE(deadlines.ShouldStream(at_minimum_rate - 1, kStart + milliseconds(550)));
 }
 
-// A streamed response that is short has to be whole at most half a second late, or fail; a long one goes on
-// as long as its upstream does.
+// A short streamed response has to be complete at most half a second late, or fail. A long one continues for
+// as long as its upstream writes.
 TEST(ResponseDeadlines, OnlyAShortStreamedResponseHasToBeWholeInTime) {
   ResponseDeadlines deadlines;
   deadlines.Begin(kTimeouts, kStart);
@@ -75,7 +75,7 @@
   EXPECT_EQ(due(kBufferLimit, milliseconds(3950)), milliseconds(4450));
   EXPECT_EQ(due(kBufferLimit, milliseconds(4440)), milliseconds(4450));
   for (const auto length : {std::optional<std::uint64_t>(kBufferLimit + 1), std::optional<std::uint64_t>()}) {
-    EXPECT_EQ(due(length, milliseconds(3950)), milliseconds(3950) + StallDeadline::kMaxSilence);
+    EXPECT_EQ(due(length, milliseconds(3950)), milliseconds(3950) + StallDeadline::kMaxPause);
   }
 }
 
--- a/tests/http/slow_transfers_test.cpp
+++ b/tests/http/slow_transfers_test.cpp
@@ -203,27 +203,27 @@
 INSTANTIATE_TEST_SUITE_P(Hedging, SlowAnswers, ::testing::Bool(),
                          [](const auto& info) { return info.param ? "On" : "Off"; });
 
-// ---- Upstreams that hang in the middle of their answers ----
+// ---- Upstreams that stall in the middle of their answers ----
 
-// Of the upstreams, about 18% hang: they take requests, write a part of each answer, and go on later.
-class HangingFleet {
+// Upstreams of which about 18% stall: they accept requests, write a part of each answer, and resume later.
+class StallingFleet {
  public:
   static constexpr int kUpstreams = 11;
-  static constexpr int kHanging = 2;
+  static constexpr int kStalling = 2;
   static constexpr std::size_t kBodySize = 400 * kKilobyte;
-  static constexpr std::size_t kBeforeHang = 130 * kKilobyte;
+  static constexpr std::size_t kBeforeStall = 130 * kKilobyte;
 
-  HangingFleet() : body_(Pattern(kBodySize)) {
+  StallingFleet() : body_(Pattern(kBodySize)) {
     for (int i = 0; i < kUpstreams; ++i) {
       upstreams_.push_back(
-          std::make_unique<Upstream>([this, hangs = i < kHanging](Wire& wire, const Request& request, int) {
+          std::make_unique<Upstream>([this, stalls = i < kStalling](Wire& wire, const Request& request, int) {
             if (request.target().starts_with("/page/short")) return (void)wire.Answer(200, "short");
             const Framing framing = FramingOf(std::string(request["X-Request-ID"]));
-            WriteThroughHang(wire, framing, hangs);
+            WriteThroughStall(wire, framing, stalls);
           }));
     }
   }
-  ~HangingFleet() { GoOn(); }
+  ~StallingFleet() { Resume(); }
 
   std::vector<std::string> addresses() const {
     std::vector<std::string> addresses;
@@ -231,39 +231,39 @@
     return addresses;
   }
   const std::string& body() const { return body_; }
-  int held() const { return held_; }
-  void GoOn() { goes_on_ = true; }
+  int stalled() const { return stalled_; }
+  void Resume() { resumes_ = true; }
 
  private:
   static Framing FramingOf(const std::string& id) {
     return static_cast<Framing>(std::stoi(id) % static_cast<int>(kFramings.size()));
   }
 
-  void WriteThroughHang(Wire& wire, Framing framing, bool hangs) {
+  void WriteThroughStall(Wire& wire, Framing framing, bool stalls) {
     wire.Write(ResponseHead(framing, body_.size()));
-    wire.Write(Framed(framing, std::string_view(body_).substr(0, kBeforeHang)));
-    if (hangs) {
-      ++held_;
-      while (!goes_on_) std::this_thread::sleep_for(milliseconds(10));
+    wire.Write(Framed(framing, std::string_view(body_).substr(0, kBeforeStall)));
+    if (stalls) {
+      ++stalled_;
+      while (!resumes_) std::this_thread::sleep_for(milliseconds(10));
     }
-    wire.Write(Framed(framing, std::string_view(body_).substr(kBeforeHang)));
+    wire.Write(Framed(framing, std::string_view(body_).substr(kBeforeStall)));
     if (framing == Framing::kChunked) wire.Write("0\r\n\r\n");
     if (framing == Framing::kClose) wire.socket.close();
   }
 
   const std::string body_;
-  std::atomic<int> held_{0};
-  std::atomic<bool> goes_on_{false};
+  std::atomic<int> stalled_{0};
+  std::atomic<bool> resumes_{false};
   std::vector<std::unique_ptr<Upstream>> upstreams_;
 };
 
-// Guards against this failure: answers whose upstream hung in their middle were cut off after 15 s, although
-// it went on later.
-TEST(AnswersThroughAHang, AreWholeAndOtherRequestsAreServedMeanwhile) {
-  constexpr milliseconds kHang{18'000};
+// Guards against this failure: answers whose upstream stalled in their middle were cut off after 15 s,
+// although it resumed later.
+TEST(AnswersThroughAStall, AreWholeAndOtherRequestsAreServedMeanwhile) {
+  constexpr milliseconds kStall{18'000};
   constexpr int kLongAnswers = 66;
   constexpr int kShortAnswers = 200;
-  HangingFleet fleet;
+  StallingFleet fleet;
   Node::Options options = OptionsFor(fleet.addresses(), false);
   options.sockets = 1024;
   Node node(options);
@@ -280,16 +280,16 @@
       return is_whole;
     }));
   }
-  ASSERT_TRUE(Eventually([&] { return whole + fleet.held() >= kLongAnswers; }));
-  EXPECT_GT(fleet.held(), 0);
-  const auto hang_ends = steady_clock::now() + kHang;
+  ASSERT_TRUE(Eventually([&] { return whole + fleet.stalled() >= kLongAnswers; }));
+  EXPECT_GT(fleet.stalled(), 0);
+  const auto stall_ends = steady_clock::now() + kStall;
   Client other(node.port());
   for (int i = 0; i < kShortAnswers; ++i) {
     const auto response = other.Get("/page/short" + std::to_string(i), "short" + std::to_string(i));
     EXPECT_TRUE(response && response->result_int() == 200) << i;
   }
-  std::this_thread::sleep_until(hang_ends);
-  fleet.GoOn();
+  std::this_thread::sleep_until(stall_ends);
+  fleet.Resume();
   for (auto& client : clients) EXPECT_TRUE(client.get()) << node.log();
 }
 
--- a/tests/http/stall_deadline_test.cpp
+++ b/tests/http/stall_deadline_test.cpp
@@ -28,25 +28,25 @@
     StallDeadline deadline = DeadlineOf(row);
     EXPECT_FALSE(deadline.due());
     deadline.Restart(At(std::stoi(row.at("last moved (s)"))));
-    const auto due = At(std::stoi(row.at("given up (s)")));
+    const auto due = At(std::stoi(row.at("ended (s)")));
     EXPECT_EQ(deadline.due(), due);
     EXPECT_FALSE(deadline.Overdue(due));
     EXPECT_TRUE(deadline.Overdue(due + runtime::Duration(1)));
   }
 }
 
-// Longer than every pause after which the deployment's servers go on.
-TEST(StallDeadline, CoversTheLongestPause) { EXPECT_GT(StallDeadline::kMaxSilence, seconds(27)); }
+// The longest pause after which the deployment's servers resume.
+TEST(StallDeadline, CoversTheLongestPause) { EXPECT_GT(StallDeadline::kMaxPause, seconds(27)); }
 
 TEST(StallDeadline, CountsFromTheBeginningOfASilenceAndOnlyWhileTheOtherSideIsAwaited) {
   StallDeadline deadline;
   deadline.Await(At(0));
   deadline.Await(At(20));
-  EXPECT_EQ(deadline.due(), At(0) + StallDeadline::kMaxSilence);
+  EXPECT_EQ(deadline.due(), At(0) + StallDeadline::kMaxPause);
   deadline.Suspend();
   EXPECT_FALSE(deadline.Overdue(At(1000)));
   deadline.Await(At(1000));
-  EXPECT_EQ(deadline.due(), At(1000) + StallDeadline::kMaxSilence);
+  EXPECT_EQ(deadline.due(), At(1000) + StallDeadline::kMaxPause);
 }
 
 }  // namespace
--- a/tests/http/transfer_stalls_test.cpp
+++ b/tests/http/transfer_stalls_test.cpp
@@ -180,8 +180,8 @@
     if (client.end == boost::asio::error::eof && !parser.is_done()) parser.put_eof(error);
     if (!parser.is_header_done()) return client.end ? "nothing" : "nothing yet";
     if (parser.get().result_int() != 200) return std::to_string(parser.get().result_int());
-    if (parser.is_done()) return parser.get().body() == body ? "whole" : "other bytes, as if whole";
-    return client.end ? "truncated" : "not whole yet";
+    if (parser.is_done()) return parser.get().body() == body ? "whole" : "other bytes";
+    return client.end ? "truncated" : "incomplete so far";
   }
 
   tcp::acceptor acceptor;
@@ -192,7 +192,7 @@
   bool written = false;  // the last byte of the request
 };
 
-// Guards against this failure: an answer was cut off 15 s into a pause after which its upstream went on.
+// Guards against this failure: an answer was cut off 15 s into a pause after which its upstream resumed.
 TEST_F(TransferStalls, AnAnswerThatGoesOnIsPassedOnWholeAndOneThatDoesNotEnds) {
   for (const auto& row : testing::TableOf(MOTHRACK_CONNECTION_LIMITS_PAGE, "Answers through a pause")) {
     SCOPED_TRACE(row.at("framing") + ", " + row.at("bytes") + ", " + row.at("stops after") + ", " +
@@ -222,7 +222,7 @@
 }
 
 // Guards against this failure: a short answer whose upstream hung in its middle was passed on because of what
-// had come before, and became whole long after its client's time.
+// had come before, and was completed long after its client's time.
 TEST_F(TransferStalls, AShortAnswerIsWholeInItsTimeOrFailsInIt) {
   constexpr milliseconds kPace{50};
   constexpr std::size_t kPiece = 3000;
@@ -302,7 +302,7 @@
     ASSERT_TRUE(WriteAtUpstream(text.substr(0, before), client, true) || before == 0);
     Settle(client);
     intercepted_calls.after_wake = [&] { upstream->send(boost::asio::buffer(&text[before], 1000)); };
-    JumpTime(http::StallDeadline::kMaxSilence + kStep);
+    JumpTime(http::StallDeadline::kMaxPause + kStep);
     Settle(client);
     WriteAtUpstream(text.substr(before + 1000), client, true);
     Settle(client);
@@ -310,8 +310,8 @@
   }
 }
 
-// Nothing is held for ever: the client of an answer that stops sees within the limit that it is not whole,
-// and the upstream's connection is closed.
+// The client of an answer that never resumes detects the truncation within the limit, and the upstream's
+// connection is closed.
 TEST_F(TransferStalls, AnAnswerThatStopsForGoodIsGivenUpAtTheLimit) {
   for (const char* framing : {"length", "chunked", "close"}) {
     SCOPED_TRACE(framing);
@@ -325,8 +325,8 @@
     const auto [text, stop] = AnswerText(framing, body, 100000);
     ASSERT_TRUE(WriteAtUpstream(text.substr(0, stop), client, true));
     Settle(client);
-    AdvanceTime(http::StallDeadline::kMaxSilence - kStep, kStep);
-    EXPECT_EQ(Got(client, body), "not whole yet");
+    AdvanceTime(http::StallDeadline::kMaxPause - kStep, kStep);
+    EXPECT_EQ(Got(client, body), "incomplete so far");
     AdvanceTime(2 * kStep, kStep);
     Settle(client);
     EXPECT_EQ(Got(client, body), "truncated");
--- a/tests/soak/books.cpp
+++ b/tests/soak/books.cpp
@@ -14,8 +14,8 @@
   char text[128];
   std::snprintf(text, sizeof text, "%s%d.%d.%zu.%lld.%lld.%zu.%lld.%zu", kPlanMark, static_cast<int>(answer),
                 static_cast<int>(framing), size, static_cast<long long>(delay.count()),
-                static_cast<long long>(pause.count()), piece, static_cast<long long>(hang.count()),
-                hang_after);
+                static_cast<long long>(pause.count()), piece, static_cast<long long>(stall.count()),
+                stall_after);
   return text;
 }
 
@@ -26,18 +26,18 @@
   int framing = 0;
   long long delay = 0;
   long long pause = 0;
-  long long hang = 0;
+  long long stall = 0;
   Plan plan;
   const char* const text = target.c_str() + at;
   if (std::sscanf(text, "?plan=%d.%d.%zu.%lld.%lld.%zu.%lld.%zu", &answer, &framing, &plan.size, &delay,
-                  &pause, &plan.piece, &hang, &plan.hang_after) != 8) {
+                  &pause, &plan.piece, &stall, &plan.stall_after) != 8) {
     return std::nullopt;
   }
   plan.answer = static_cast<Answer>(answer);
   plan.framing = static_cast<Framing>(framing);
   plan.delay = Milliseconds(delay);
   plan.pause = Milliseconds(pause);
-  plan.hang = Milliseconds(hang);
+  plan.stall = Milliseconds(stall);
   return plan;
 }
 
--- a/tests/soak/books.h
+++ b/tests/soak/books.h
@@ -51,9 +51,9 @@
   Milliseconds delay{};  // between head and body
   Milliseconds pause{};  // between pieces of the body
   std::size_t piece = 0;
-  // The upstream hangs for this long once it has written so much of the body, and then goes on.
-  Milliseconds hang{};
-  std::size_t hang_after = 0;
+  // The upstream stalls for this long once it has written this many bytes of the body, and then resumes.
+  Milliseconds stall{};
+  std::size_t stall_after = 0;
 
   bool IsSound() const {
     return answer == Answer::kWhole || answer == Answer::kInterim || answer == Answer::kCopyBehind;
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -34,8 +34,8 @@
   kBytesBehind,       // a length that is too short, or noise behind a GET, in one write
   kBytesBehindLater,  // the same in a second write, before the upstream answers
 };
-// The numbers of clients whose answers hang begin here.
-constexpr int kFirstHeld = 200;
+// The numbers of clients whose answers stall begin here.
+constexpr int kFirstStalled = 200;
 constexpr std::uint64_t kRequestDefects = 5;  // without kNone
 // An upstream holds the answer to a request that becomes unsound later for this long.
 constexpr Milliseconds kHoldAnswer{150};
@@ -71,15 +71,15 @@
   return plan;
 }
 
-// A long answer whose upstream hangs in its middle for as long as the deployment's may, and then goes on. The
-// part before the hang is too long for an answer that has to be whole in its client's time.
-Plan DrawHangingAnswer(std::mt19937_64& random) {
+// A long answer whose upstream stalls in its middle for as long as the deployment's may, and then resumes.
+// The part before the stall is too long for an answer that has to be complete in its client's time.
+Plan DrawStallingAnswer(std::mt19937_64& random) {
   Plan plan;
   plan.framing = static_cast<Plan::Framing>(Below(random, Plan::kFramings));
   plan.size = Between(random, 150'000, 800'000);
   plan.piece = 10'000;
-  plan.hang = Milliseconds(Between(random, 6800, 21'000));
-  plan.hang_after = Between(random, 80'000, plan.size - 1);
+  plan.stall = Milliseconds(Between(random, 6800, 21'000));
+  plan.stall_after = Between(random, 80'000, plan.size - 1);
   return plan;
 }
 
@@ -94,7 +94,7 @@
   if (streams) draw.body.assign(Between(random, 70'000, 300'000), 'b');
 }
 
-RequestDraw DrawRequest(std::mt19937_64& random, bool hangs) {
+RequestDraw DrawRequest(std::mt19937_64& random, bool stalls) {
   RequestDraw draw;
   draw.effect = static_cast<Effect>(Below(random, 3));
   draw.timeout = Milliseconds(Between(random, 400, 2500));
@@ -110,8 +110,8 @@
     draw.body.assign(Between(random, 70'000, 900'000), 'b');
   draw.chunked = Below(random, 2) == 0;
   if (!uploads && Below(random, 8) == 0) SpoilRequest(random, draw);
-  if (hangs && draw.plan.answer == Plan::Answer::kWhole && draw.defect == RequestDefect::kNone) {
-    draw.plan = DrawHangingAnswer(random);
+  if (stalls && draw.plan.answer == Plan::Answer::kWhole && draw.defect == RequestDefect::kNone) {
+    draw.plan = DrawStallingAnswer(random);
   }
   return draw;
 }
@@ -157,7 +157,7 @@
   ResponseParser parser;
   // A long answer's time is that of its head; its body may take as long as its upstream needs.
   auto response = parser.Read(
-      connection, Clock::now() + draw.timeout + draw.plan.hang + kLostAfter + std::chrono::seconds(8));
+      connection, Clock::now() + draw.timeout + draw.plan.stall + kLostAfter + std::chrono::seconds(8));
   Result& result = response.result;
   result.ended_at = Clock::now();
   if (result.kind == Result::Kind::kIdleClose && !may_close) result.kind = Result::Kind::kNoAnswer;
@@ -177,8 +177,8 @@
   for (int i = 0; i < leaving; ++i) threads_.emplace_back([this, i] { RunLeaving(i); });
 }
 
-void Clients::StartHeld(int count) {
-  for (int i = 0; i < count; ++i) threads_.emplace_back([this, i] { Run(kFirstHeld + i, true); });
+void Clients::StartStalled(int count) {
+  for (int i = 0; i < count; ++i) threads_.emplace_back([this, i] { Run(kFirstStalled + i, true); });
 }
 
 void Clients::StartCrowd(int connections) {
@@ -195,7 +195,7 @@
   threads_.clear();
 }
 
-void Clients::Run(int number, bool hangs) {
+void Clients::Run(int number, bool stalls) {
   Random random(seed_ * 1000 + static_cast<std::uint64_t>(number));
   Connection connection;
   bool reused = false;
@@ -208,7 +208,7 @@
     }
     const std::string id =
         "s" + std::to_string(seed_) + "c" + std::to_string(number) + "r" + std::to_string(i);
-    if (!Exchange(connection, reused, random, id, hangs)) connection.Close();
+    if (!Exchange(connection, reused, random, id, stalls)) connection.Close();
     reused = true;
     std::this_thread::sleep_for(Milliseconds(Between(random, 0, 40)));
   }
@@ -233,8 +233,8 @@
 }
 
 bool Clients::Exchange(Connection& connection, bool reused, Random& random, const std::string& id,
-                       bool hangs) {
-  const RequestDraw draw = DrawRequest(random, hangs);
+                       bool stalls) {
+  const RequestDraw draw = DrawRequest(random, stalls);
   const bool sound = draw.defect == RequestDefect::kNone;
   const bool later = draw.defect == RequestDefect::kBytesBehindLater;
   if (!sound && !later) books_.OnUnsound(id);
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -28,8 +28,8 @@
   void Start(int usual, int leaving);
   // This many connections at once that stop half way through a request, write or read slowly, or send heads
   // of very many short fields.
-  // Clients most of whose answers hang in their middle for 6.8 to 21 s.
-  void StartHeld(int count);
+  // Clients most of whose answers stall in their middle for 6.8 to 21 s.
+  void StartStalled(int count);
   void StartCrowd(int connections);
   // One client that sends small or unsound requests at full speed, under ever new names.
   void StartFlood();
@@ -42,13 +42,13 @@
  private:
   using Random = std::mt19937_64;
 
-  void Run(int number, bool hangs);
+  void Run(int number, bool stalls);
   void RunLeaving(int number);
   void RunCrowd(int connections);
   void RunFlood();
   void RunSlowWriter(int number, const std::function<void()>& on_begun);
   // Sends one request and waits for its end. Returns whether the connection can be used further.
-  bool Exchange(Connection& connection, bool reused, Random& random, const std::string& id, bool hangs);
+  bool Exchange(Connection& connection, bool reused, Random& random, const std::string& id, bool stalls);
   bool WriteRequest(Connection& connection, Random& random, const std::string& text, const std::string& body);
   void RecordLeft(Connection& connection, const std::string& id);
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,12 +1,12 @@
 // The soak: a sidecar process under traffic and faults that a seed draws, judged by the soak's own books.
 //
-//   soak [--seconds N] [--held N] FIRST_SEED [LAST_SEED]
+//   soak [--seconds N] [--stalled N] FIRST_SEED [LAST_SEED]
 //
 // For each seed it starts a sidecar, upstreams, discovery and clients, lets faults happen, ends the sidecar
 // by SIGTERM while clients go on using their connections, and kills it at the earliest moment that the
-// deployment allows. With --held there are N more clients whose answers hang in their middle for 6.8 to 21 s;
-// a run with them should last a minute (--seconds 60), and is started by hand. Prints one line a seed and one
-// for each violation; exits with 1 if there was any.
+// deployment allows. With --stalled there are N more clients whose answers stall in their middle for 6.8 to
+// 21 s; a run with them should last a minute (--seconds 60), and is started by hand. Prints one line a seed
+// and one for each violation; exits with 1 if there was any.
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -31,8 +31,8 @@
 using testing::Node;
 
 constexpr int kUpstreams = 6;
-// Beside clients whose answers hang, the other upstreams are left alone: a reset ends every hang.
-constexpr std::size_t kDisturbedBesideHeld = 3;
+// With clients whose answers stall, the other upstreams are not disturbed: a reset ends each stall.
+constexpr std::size_t kDisturbedBesideStalled = 3;
 // SIGKILL comes no sooner after SIGTERM than the longest deadline and this.
 constexpr Milliseconds kLongestDeadline{3000};
 constexpr Milliseconds kKillAfter{700};
@@ -68,8 +68,8 @@
 
 class Run {
  public:
-  Run(std::uint64_t seed, seconds duration, int held)
-      : seed_(seed), duration_(duration), held_(held), random_(seed) {
+  Run(std::uint64_t seed, seconds duration, int stalled)
+      : seed_(seed), duration_(duration), stalled_(stalled), random_(seed) {
     for (int i = 0; i < kUpstreams; ++i) {
       upstreams_.push_back(std::make_unique<Upstream>(books_, "u" + std::to_string(next_uid_++)));
     }
@@ -89,7 +89,7 @@
     const ProcessorTime processor_time(node.pid());
     Clients clients(books_, node.port(), seed_);
     clients.Start(kUsualClients, kLeavingClients);
-    clients.StartHeld(held_);
+    clients.StartStalled(stalled_);
     if (crowded_) clients.StartCrowd(kCrowd);
     if (flooded_) clients.StartFlood();
     const TimePoint end = Clock::now() + duration_;
@@ -128,7 +128,7 @@
   }
 
   void Disturb(Node& node) {
-    Upstream& upstream = *upstreams_[Below(held_ > 0 ? kDisturbedBesideHeld : upstreams_.size())];
+    Upstream& upstream = *upstreams_[Below(stalled_ > 0 ? kDisturbedBesideStalled : upstreams_.size())];
     switch (Below(6)) {
       case 0:
         upstream.ResetConnections();
@@ -215,7 +215,7 @@
 
   const std::uint64_t seed_;
   const seconds duration_;
-  const int held_;
+  const int stalled_;
   std::mt19937_64 random_;
   Books books_;
   std::vector<std::unique_ptr<Upstream>> upstreams_;
@@ -234,21 +234,21 @@
 int main(int argc, char** argv) {
   std::vector<std::string> arguments(argv + 1, argv + argc);
   std::chrono::seconds duration(6);
-  int held = 0;
-  while (arguments.size() > 2 && (arguments[0] == "--seconds" || arguments[0] == "--held")) {
+  int stalled = 0;
+  while (arguments.size() > 2 && (arguments[0] == "--seconds" || arguments[0] == "--stalled")) {
     const int value = std::stoi(arguments[1]);
     if (arguments[0] == "--seconds") duration = std::chrono::seconds(value);
-    if (arguments[0] == "--held") held = value;
+    if (arguments[0] == "--stalled") stalled = value;
     arguments.erase(arguments.begin(), arguments.begin() + 2);
   }
   if (arguments.empty() || arguments.size() > 2) {
-    std::fprintf(stderr, "usage: soak [--seconds N] [--held N] FIRST_SEED [LAST_SEED]\n");
+    std::fprintf(stderr, "usage: soak [--seconds N] [--stalled N] FIRST_SEED [LAST_SEED]\n");
     return 2;
   }
   const std::uint64_t first = std::stoull(arguments.front());
   const std::uint64_t last = std::stoull(arguments.back());
   bool all_kept = true;
   for (std::uint64_t seed = first; seed <= last; ++seed)
-    all_kept = mothrack::soak::Run(seed, duration, held).Play() && all_kept;
+    all_kept = mothrack::soak::Run(seed, duration, stalled).Play() && all_kept;
   return all_kept ? 0 : 1;
 }
--- a/tests/soak/upstream.cpp
+++ b/tests/soak/upstream.cpp
@@ -229,8 +229,8 @@
 }
 
 // Until the hang of the plan is over, or the connection was reset.
-void Upstream::Hang(const Request& request) const {
-  const TimePoint end = Clock::now() + request.plan.hang;
+void Upstream::Stall(const Request& request) const {
+  const TimePoint end = Clock::now() + request.plan.stall;
   while (!stopping_ && request.resets == resets_ && Clock::now() < end) {
     std::this_thread::sleep_for(Milliseconds(10));
   }
@@ -241,7 +241,7 @@
   const std::size_t piece_size = request.plan.piece == 0 ? body.size() : request.plan.piece;
   for (std::size_t at = 0; at < end; at += piece_size) {
     const std::string piece = body.substr(at, std::min(piece_size, end - at));
-    if (at <= request.plan.hang_after && request.plan.hang_after < at + piece.size()) Hang(request);
+    if (at <= request.plan.stall_after && request.plan.stall_after < at + piece.size()) Stall(request);
     const bool chunked = request.plan.framing == Plan::Framing::kChunked;
     if (request.resets != resets_ || !connection.Send(chunked ? Chunk(piece) : piece, Never())) return false;
     books_.OnBodyWritten(request.id, at + piece.size());
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -53,7 +53,7 @@
   bool ReadBody(Connection& connection, const Request& request, std::string& buffer);
   bool SendUnframed(Connection& connection, const Request& request, const std::string& answer);
   bool WriteSound(Connection& connection, const Request& request);
-  void Hang(const Request& request) const;
+  void Stall(const Request& request) const;
   bool WriteBody(Connection& connection, const Request& request, const std::string& body, std::size_t end);
 
   Books& books_;
