A paused answer of unknown length is passed on after a second again

Cause: held back every buffered answer that pauses for over half a second. For an answer of unknown length that was wrong: it may be long, and then what has come of it must not be withheld; the test says so and stays.

Change: the pause counts only for answers of known length, of which it is certain that they are short.

--- a/src/http/response_deadlines.cpp
+++ b/src/http/response_deadlines.cpp
@@ -32,7 +32,7 @@
 void ResponseDeadlines::BeginBuffering(bool length_known, runtime::TimePoint now) {
   runtime::TimePoint until = forward_at_;
   if (!length_known) until = std::min({until, begin_by_, now + kBufferingTimeout});
-  buffering_ = Buffering{now, until, 0, now};
+  buffering_ = Buffering{now, until, length_known, 0, now};
 }
 
 void ResponseDeadlines::OnBuffered(std::size_t size, runtime::TimePoint now) {
@@ -42,7 +42,8 @@
 }
 
 bool ResponseDeadlines::ShouldStream(std::size_t size, runtime::TimePoint now) const {
-  if (now < buffering_->until || size == 0 || now - buffering_->grown_at > kMaxLateness) return false;
+  if (now < buffering_->until || size == 0) return false;
+  if (buffering_->length_known && now - buffering_->grown_at > kMaxLateness) return false;
   if (size >= kMinStreamedSize) return true;
   const double elapsed_seconds = std::chrono::duration<double>(now - buffering_->head_at).count();
   return now >= forward_at_ && static_cast<double>(size) >= elapsed_seconds * kMinBodyRate;
--- a/src/http/response_deadlines.h
+++ b/src/http/response_deadlines.h
@@ -36,9 +36,9 @@
 
   // Whether a response of which `size` bytes are buffered is streamed from now on. A short one is buffered
   // further: it may be complete in time, or it may break off, and then the request can be retried. When its
-  // client's time is nearly over, it is streamed if it came at the minimum rate of a body or above. In either
-  // case its upstream must still be writing it: one that has paused for longer than an answer may be late
-  // would not complete it in time. Only while buffering.
+  // client's time is nearly over, it is streamed if it came at the minimum rate of a body or above. If its
+  // length is known, its upstream must still be writing it as well: one that has paused for longer than an
+  // answer may be late would not complete it in time. Only while buffering.
   bool ShouldStream(std::size_t size, runtime::TimePoint now) const;
   // The limits of a response that is streamed. A short one of known length has to be complete in time, or
   // truncated visibly; a long one only has to begin in time. `length`: absent if unknown.
@@ -50,6 +50,7 @@
   struct Buffering {
     runtime::TimePoint head_at;
     runtime::TimePoint until;
+    bool length_known = false;
     std::size_t size = 0;
     runtime::TimePoint grown_at;  // when the last bytes came, or the head
   };
