--- a/tests/http/transfer_stalls_test.cpp
+++ b/tests/http/transfer_stalls_test.cpp
@@ -77,8 +77,8 @@
   answer.body = BodyOfSize(std::stoul(row.at("bytes")));
   const auto [text, stop] = AnswerText(row.at("framing"), answer.body, std::stoul(row.at("stops after")));
   answer.parts.push_back(text.substr(0, stop));
-  std::istringstream pauses(row.at("silent (s)"));
-  const auto count = std::count(pauses.str().begin(), pauses.str().end(), ',') + 1;
+  const std::string& pauses = row.at("silent (s)");
+  const auto count = std::count(pauses.begin(), pauses.end(), ',') + 1;
   // A second pause comes one byte after the first.
   std::size_t at = stop;
   for (auto i = 1; i < count; ++i) answer.parts.push_back(text.substr(at++, 1));
